--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -27,6 +27,7 @@
 constexpr Micros kBurst = seconds(1);         // a full bucket holds this much of its rate
 constexpr Micros kReopenAfter = seconds(20);  // unrefused so long: the limit is no longer there
 constexpr Micros kForgetAfter = seconds(60);  // idle so long: dropped
+constexpr Micros kSweepEvery = seconds(5);    // between walks over the whole list for what may be dropped
 constexpr double kLeastRate = 2;              // calls a second that any destination is believed to take
 
 // Health and return (rule 4).
@@ -67,8 +68,8 @@
   Micros last_bad_sent{Micros::min()};  // send time of the latest call that failed or was refused
   Micros ramp_from{0};
   double bad_share = 0;
-  int bad_run = 0;                             // calls in a row that failed or were refused
-  std::deque<std::pair<Micros, double>> sent;  // (time, weight) of calls
+  int bad_run = 0;                              // calls in a row that failed or were refused
+  std::vector<std::pair<Micros, double>> sent;  // (time, weight) of calls
 };
 
 struct Bucket {
@@ -82,7 +83,7 @@
   Bucket bucket;
   Health health;
   Micros pause_until{Micros::min()};  // told wait
-  Micros used{0}, served_at{0};
+  Micros used{Micros::min()}, served_at{0};
   double limit = 0;                // told calls a second, all senders; 0: none told
   double served = 0, peak = 0;     // decaying count of served calls; best served rate seen
   double mean = 0, deviation = 0;  // latency in seconds; 0: none seen
@@ -90,20 +91,26 @@
   int out = 0;                     // calls out
 };
 
-using LaneKey = std::pair<std::uint64_t, EndpointId>;  // route empty: the whole destination
+struct Destination;
 
-struct Route {  // an endpoint as listed
+struct Route {  // an endpoint; kept as gone while its lane may not be forgotten
   Endpoint endpoint;
-  LaneKey lane;
+  Destination* home = nullptr;
+  Lane own;       // where routes are apart
   Health health;  // its own: bounds calls where the lane is shared, ranks the endpoint everywhere
   int out = 0;
-  bool listed = true;
   std::vector<Micros> idle;  // connections believed idle, by the time they became so
 };
 
+struct Destination {
+  std::vector<Route> routes;
+  Lane shared;   // where endpoints share a limit
+  int held = 0;  // messages that refer to it
+};
+
 struct Call {
+  Destination* home = nullptr;
   EndpointId endpoint;
-  LaneKey lane;
   Micros sent{0};
   int zone = 0;
   int waiting = 0, messages = 0;  // without an outcome; in all
@@ -112,6 +119,7 @@
 
 struct Held {
   Message message;
+  Destination* home = nullptr;
   bool over_share = false;
   bool ended = false;  // answered; kept only while an attempt is out
   bool out = false;
@@ -145,20 +153,17 @@
   }
 
   void OnList(const std::vector<Endpoint>& entries, bool whole) override {
-    for (auto& [destination, routes] : routes_) {
-      for (Route& route : routes) route.listed = !whole;
+    for (auto& [id, destination] : destinations_) {
+      if (!whole) break;
+      for (Route& route : destination.routes) route.endpoint.state = EndpointState::kGone;
     }
     for (const Endpoint& entry : entries) {
-      Route* route = Find(entry.destination, entry.id);
-      if (route == nullptr) route = &routes_[entry.destination].emplace_back();
+      Destination& home = destinations_[entry.destination];
+      Route* route = Find(home, entry.id);
+      if (route == nullptr) route = &home.routes.emplace_back();
       route->endpoint = entry;
-      route->lane = {entry.destination, Kind(entry).separate_routes ? entry.id : EndpointId()};
-      route->listed = entry.state != EndpointState::kGone;
-    }
-    for (auto& [destination, routes] : routes_) {
-      std::erase_if(routes, [](const Route& route) { return !route.listed; });
+      route->home = &home;
     }
-    std::erase_if(routes_, [](const auto& entry) { return entry.second.empty(); });
     watch_failures_ = 0;
   }
 
@@ -177,6 +182,8 @@
     if (!is_new) return;
     Held& held = it->second;
     held.message = message;
+    held.home = &destinations_[message.destination];
+    ++held.home->held;
     held.over_share = TakeShare(message.tenant);
     if (InTurn(held)) keys_[message.key].order.push_back(message.id);
     ++open_;
@@ -185,8 +192,7 @@
   void OnOutcome(const Outcome& outcome) override;
 
   void OnWithdrawn(MessageId id) override {
-    auto it = held_.find(id);
-    if (it != held_.end()) End(it->second);
+    if (auto it = held_.find(id); it != held_.end()) End(it->second);
   }
 
   void OnTurnEnd() override {
@@ -195,7 +201,11 @@
       host_.Watch();
     }
     turn_calls_.clear();
-    ForgetIdle();
+    for (MessageId id : std::exchange(done_, {})) {
+      --held_.at(id).home->held;
+      held_.erase(id);
+    }
+    if (now_ >= sweep_due_) ForgetIdle();
     AnswerWhatIsOver();
     MakeRoom();
     Pump();
@@ -203,21 +213,19 @@
   }
 
   Footprint footprint() const override {
-    std::size_t endpoints = 0;
-    for (const auto& [destination, routes] : routes_) endpoints += routes.size();
-    return {held_.size(), keys_.size(), lanes_.size(), endpoints, calls_.size()};
+    std::size_t endpoints = 0, lanes = 0;
+    for (const auto& [id, destination] : destinations_) {
+      endpoints += destination.routes.size();
+      lanes += destination.shared.used > Micros::min();
+      for (const Route& route : destination.routes) lanes += route.own.used > Micros::min();
+    }
+    return {held_.size(), keys_.size(), lanes, endpoints, calls_.size()};
   }
 
  private:
-  std::vector<Route>& RoutesOf(std::uint64_t destination) {
-    auto it = routes_.find(destination);
-    return it == routes_.end() ? no_routes_ : it->second;
-  }
-
-  Route* Find(std::uint64_t destination, const EndpointId& id) {
-    for (Route& route : RoutesOf(destination)) {
+  static Route* Find(Destination& home, const EndpointId& id) {
+    for (Route& route : home.routes)
       if (route.endpoint.id == id) return &route;
-    }
     return nullptr;
   }
 
@@ -283,10 +291,9 @@
 
   // Rule 2: a refusal promises that handing in again is harmless.
   bool MayRefuse(const Held& held) const {
-    if (held.out) return false;
     const ClassSettings& c = Class(held);
-    return !held.may_have_run || c.effect == Effect::kSafe ||
-           (c.effect == Effect::kKeyed && c.group == Group::kAll);
+    const bool drops_repeats = c.effect == Effect::kKeyed && c.group == Group::kAll;
+    return !held.out && (!held.may_have_run || c.effect == Effect::kSafe || drops_repeats);
   }
 
   // Rule 1: the one place where a final answer is given.
@@ -324,9 +331,8 @@
     if (now_ < lane.pause_until) return false;                        // rule 6
     if (joins) return true;  // rides on a call that passed here in this turn; its weight is counted
     if (!InBudget(lane.health, ShareOf(lane))) return false;
-    if (!route.lane.second.empty()) return true;
-    const std::size_t endpoints = routes_.at(route.endpoint.destination).size();
-    return InBudget(route.health, ShareOf(lane) / static_cast<double>(endpoints));
+    if (Apart(route)) return true;
+    return InBudget(route.health, ShareOf(lane) / static_cast<double>(route.home->routes.size()));
   }
 
   // Every send passes here.
@@ -335,7 +341,7 @@
     const ClassSettings& c = Class(held);
     const bool bound = held.may_have_run && c.effect == Effect::kKeyed && c.group == Group::kZone;
     if (bound && route.endpoint.zone != held.run_zone) return false;
-    return route.endpoint.destination == held.message.destination && MayCall(route, lane, joins);
+    return route.home == held.home && MayCall(route, lane, joins);
   }
 
   // ---- Return budget (rule 4) ---------------------------------------------------------------------------
@@ -356,7 +362,7 @@
   // After an outage: at most so much in any fall span. Never less than a trickle, never more than the rule's
   // multiple of what the destination can do at this point of its warming.
   bool InBudget(const Health& health, double share) const {
-    if (health.phase == Phase::kWarm || health.sent.empty()) return true;
+    if (PhaseOf(health) == Phase::kWarm || health.sent.empty()) return true;
     if (InDoubt(health) && health.before == Phase::kWarm) {
       return now_ - health.sent.back().first >= kLeastTrialGap;
     }
@@ -379,7 +385,7 @@
     const Micros span = std::max<Micros>(set_.fall, kBurst);
     for (auto* sent : {&lane.health.sent, &route.health.sent}) {
       sent->emplace_back(now_, weight);
-      while (now_ - sent->front().first > span) sent->pop_front();
+      std::erase_if(*sent, [&](const auto& call) { return now_ - call.first > span; });
     }
     lane.used = now_;
   }
@@ -391,7 +397,7 @@
     if (!ok) {
       ++health.bad_run;
       if (health.phase != Phase::kTrial) {
-        health.before = health.phase;
+        health.before = PhaseOf(health);
         health.trouble_from = health.last_ok;
         health.phase = Phase::kTrial;
       }
@@ -408,8 +414,8 @@
     health.bad_run = 0;
   }
 
-  void Warm(Health& health) {
-    if (health.phase == Phase::kRamp && now_ - health.ramp_from >= set_.cold) health.phase = Phase::kWarm;
+  Phase PhaseOf(const Health& health) const {
+    return health.phase == Phase::kRamp && now_ - health.ramp_from >= set_.cold ? Phase::kWarm : health.phase;
   }
 
   double Limit(const Lane& lane) const {  // believed, all senders together
@@ -480,49 +486,52 @@
   }
 
   void ForgetIdle() {
-    for (MessageId id : done_) held_.erase(id);
-    done_.clear();
+    sweep_due_ = now_ + kSweepEvery;
     std::erase_if(keys_, [&](const auto& entry) {
       return entry.second.order.empty() && entry.second.rest_until <= now_;
     });
-    for (auto& [key, lane] : lanes_) Warm(lane.health);
-    std::erase_if(lanes_, [&](const auto& entry) {
-      const Lane& lane = entry.second;
-      const bool listed = routes_.contains(entry.first.first);
-      return lane.out == 0 && now_ - lane.used > kForgetAfter && now_ >= lane.pause_until &&
-             (lane.health.phase == Phase::kWarm || !listed);
-    });
-    for (auto& [destination, routes] : routes_) {
-      for (Route& route : routes) {
-        Warm(route.health);
-        std::erase_if(route.idle, [&](Micros since) { return now_ - since >= set_.idle_close; });
-      }
+    for (auto& [id, destination] : destinations_) {
+      std::erase_if(destination.routes, [this](Route& route) {
+        const bool gone = route.endpoint.state == EndpointState::kGone;
+        Forget(route.own, !gone);
+        return gone && route.out == 0 && route.own.used == Micros::min();
+      });
+      Forget(destination.shared, !destination.routes.empty());
     }
+    std::erase_if(destinations_, [](const auto& entry) {
+      const Destination& home = entry.second;
+      return home.routes.empty() && home.held == 0 && home.shared.used == Micros::min();
+    });
   }
 
-  Lane& LaneOf(const LaneKey& key) {
-    auto [it, is_new] = lanes_.try_emplace(key);
-    if (is_new) it->second.used = now_;
-    return it->second;
+  void Forget(Lane& lane, bool listed) const {
+    if (lane.used == Micros::min() || lane.out > 0 || now_ - lane.used <= kForgetAfter) return;
+    if (now_ >= lane.pause_until && (!listed || PhaseOf(lane.health) == Phase::kWarm)) lane = Lane{};
+  }
+
+  bool Apart(const Route& route) const { return Kind(route.endpoint).separate_routes; }
+
+  Lane& LaneOf(Route& route) {
+    Lane& lane = Apart(route) ? route.own : route.home->shared;
+    if (lane.used == Micros::min()) lane.used = now_;
+    return lane;
   }
 
   // Rule 1 at the deadline, and at once for what can no longer be delivered.
   void AnswerWhatIsOver() {
     for (auto& [id, held] : held_) {
-      if (held.out) {
-        if (now_ >= held.message.give_up_at + set_.tick) Answer(held, Micros(0));
-      } else if (!MayAttempt(held) || !CanStillArrive(held)) {
-        Answer(held, Micros(0));
-      }
+      const bool over =
+          held.out ? now_ >= held.message.give_up_at + set_.tick : !MayAttempt(held) || !CanStillArrive(held);
+      if (over) Answer(held, Micros(0));
     }
   }
 
   bool CanStillArrive(const Held& held) {
     const Micros left = held.message.give_up_at - now_;
     if (left <= 2 * set_.tick) return false;
-    const std::vector<Route>& routes = RoutesOf(held.message.destination);  // none: the list may be behind
-    return routes.empty() || std::any_of(routes.begin(), routes.end(), [&](const Route& route) {
-             return LaneOf(route.lane).pause_until < held.message.give_up_at;
+    std::vector<Route>& routes = held.home->routes;  // none: the list may be behind
+    return routes.empty() || std::any_of(routes.begin(), routes.end(), [&](Route& route) {
+             return LaneOf(route).pause_until < held.message.give_up_at;
            });
   }
 
@@ -534,8 +543,8 @@
       double least_worth = 0;
       for (auto& [id, held] : held_) {
         if (held.ended || !MayRefuse(held)) continue;
-        const std::vector<Route>& routes = RoutesOf(held.message.destination);
-        const bool shut = routes.empty() || LaneOf(routes.front().lane).health.phase == Phase::kTrial;
+        std::vector<Route>& routes = held.home->routes;
+        const bool shut = routes.empty() || LaneOf(routes.front()).health.phase == Phase::kTrial;
         const double worth = Worth(held, shut ? set_.cold : Micros(0));
         if (least != nullptr && worth > least_worth) continue;
         least = &held;
@@ -549,12 +558,13 @@
   // ---- Sending ------------------------------------------------------------------------------------------
 
   // Calls that may be out on a lane at once, so that one slow destination does not take every slot.
-  int LaneRoom(const LaneKey& key, const Lane& lane) const {
+  int LaneRoom(const Route& route, const Lane& lane) const {
     if (lane.health.phase == Phase::kTrial) return InDoubt(lane.health) ? 2 : 1;
     if (set_.call_slots <= 0) return std::numeric_limits<int>::max();
     const double overdue = lane.mean > 0 ? lane.mean + kOverdueDeviations * lane.deviation : 0;
     for (const auto& [id, call] : calls_) {
-      if (overdue > 0 && call.lane == key && Seconds(now_ - call.sent) > overdue &&
+      if (overdue > 0 && call.home == route.home && (!Apart(route) || call.endpoint == route.endpoint.id) &&
+          Seconds(now_ - call.sent) > overdue &&
           lane.health.last_ok <= call.sent) {  // and nothing sent later was served: hung, not lossy
         return std::max(1, set_.call_slots / 6);
       }
@@ -564,7 +574,7 @@
 
   Micros Timeout(const Held& held, const Lane& lane) const {
     const ClassSettings& c = Class(held);
-    const bool lossy = lane.lost >= kLostShare && lane.health.phase == Phase::kWarm;
+    const bool lossy = lane.lost >= kLostShare && PhaseOf(lane.health) == Phase::kWarm;
     const double patience = lossy ? kLossyPatience : 1;
     const double seen = lane.mean > 0 ? lane.mean + kTimeoutDeviations * lane.deviation : Seconds(c.aim);
     const Micros base = ToMicros(patience * std::max(Seconds(c.aim) / 2, seen));
@@ -574,15 +584,15 @@
   }
 
   // Rank of an endpoint for a call: routes apart by tokens, then fee; else by zone, connections and load.
-  std::tuple<double, double, double> Rank(const Route& route, Lane& lane) {
+  std::tuple<double, double, double> Rank(Route& route, Lane& lane) {
     const auto zone = static_cast<std::size_t>(route.endpoint.zone);
     const double fee = zone < set_.zone_fee.size() ? set_.zone_fee[zone] : 0;
+    std::erase_if(route.idle, [&](Micros since) { return now_ - since >= set_.idle_close; });
     double load = route.out;
     if (route.idle.empty()) load += 1;  // a new connection takes time, and one of a few places
     if (route.endpoint.zone != set_.own_zone && set_.price_cross_zone > 0) load += 1;
     load += 4 * route.health.bad_share;
-    if (route.lane.second.empty()) return {0, 0, load};
-    return {-Tokens(lane), fee, load};
+    return Apart(route) ? std::tuple{-Tokens(lane), fee, load} : std::tuple{0.0, 0.0, load};
   }
 
   // A call opened in this turn that has room for one message more: it costs no slot and no token.
@@ -596,10 +606,10 @@
   Route* Choose(const Held& held) {
     Route* best = nullptr;
     std::tuple<double, double, double> best_rank;
-    std::vector<Route>& routes = RoutesOf(held.message.destination);
+    std::vector<Route>& routes = held.home->routes;
     for (std::size_t i = 0; i < routes.size(); ++i) {
       Route& route = routes[(i + set_.seed) % routes.size()];  // ties fall differently at each sender
-      Lane& lane = LaneOf(route.lane);
+      Lane& lane = LaneOf(route);
       if (OpenCall(route) != nullptr && MaySend(held, route, lane, true)) return &route;
       if (!HasRoom(held, route, lane)) continue;
       const auto rank = Rank(route, lane);
@@ -613,7 +623,7 @@
   bool HasRoom(const Held& held, const Route& route, Lane& lane) {
     if (set_.call_slots > 0 && static_cast<int>(calls_.size()) >= set_.call_slots) return false;
     if (!MaySend(held, route, lane)) return false;
-    if (lane.out >= LaneRoom(route.lane, lane)) return false;
+    if (lane.out >= LaneRoom(route, lane)) return false;
     if (route.health.phase == Phase::kTrial && route.out > 0) return false;
     if (lane.health.phase == Phase::kTrial) {
       const bool last = set_.max_attempts > 0 && held.attempts + 1 >= set_.max_attempts;
@@ -625,14 +635,14 @@
   }
 
   void SendTo(Held& held, Route& route) {
-    Lane& lane = LaneOf(route.lane);
+    Lane& lane = LaneOf(route);
     Call* call = OpenCall(route);
     const bool joins = call != nullptr;
     if (!MaySend(held, route, lane, joins)) return;  // the guard
     if (!joins) {
       turn_calls_[route.endpoint.id] = ++last_call_;
       call = &calls_[last_call_];
-      *call = {route.endpoint.id, route.lane, now_, route.endpoint.zone};
+      *call = {route.home, route.endpoint.id, now_, route.endpoint.zone};
       if (lane.bucket.bound) lane.bucket.tokens -= 1;
       ++lane.out;
       ++route.out;
@@ -649,7 +659,9 @@
 
   void Pump() {
     std::vector<std::pair<double, Held*>> waiting;
-    for (auto& [id, held] : held_) waiting.emplace_back(-Claim(held), &held);  // the guard picks
+    for (auto& [id, held] : held_) {
+      if (MayAttempt(held)) waiting.emplace_back(-Claim(held), &held);
+    }
     std::stable_sort(waiting.begin(), waiting.end(), [](const auto& a, const auto& b) {
       return std::tie(a.first, a.second->message.give_up_at) <
              std::tie(b.first, b.second->message.give_up_at);
@@ -683,9 +695,8 @@
   std::vector<MessageId> done_;
   std::map<std::string, KeyTurn> keys_;
   std::map<int, TenantUse> tenants_;
-  std::map<LaneKey, Lane> lanes_;
-  std::map<std::uint64_t, std::vector<Route>> routes_;  // by destination
-  std::vector<Route> no_routes_;
+  Micros sweep_due_{Micros::min()};
+  std::map<std::uint64_t, Destination> destinations_;
   std::map<std::uint64_t, Call> calls_;
   std::map<EndpointId, std::uint64_t> turn_calls_;  // calls opened in this turn
 };
@@ -696,15 +707,14 @@
   Held& held = it->second;
   auto call_it = calls_.find(held.call);
   Call& call = call_it->second;
-  Lane& lane = LaneOf(call.lane);
-  Route* route = Find(call.lane.first, call.endpoint);
+  Route& route = *Find(*call.home, call.endpoint);  // kept while a call is out
+  Lane& lane = LaneOf(route);
   held.out = false;
   const Result result = outcome.result;
   const bool ok = result == Result::kOk;
   const bool may_run_on =
       result == Result::kTimeout || result == Result::kReset || result == Result::kCancelled;
-  const bool ran = may_run_on || result == Result::kError;
-  if (ran && !held.may_have_run) {
+  if ((may_run_on || result == Result::kError) && !held.may_have_run) {
     held.may_have_run = true;
     held.first_run = call.sent;
     held.run_zone = call.zone;
@@ -715,15 +725,13 @@
     turn.rest_until = std::max(turn.rest_until, now_ + set_.turn_gap);
   }
   if (outcome.load.limit > 0) lane.limit = outcome.load.limit;
-  if (result == Result::kFull && outcome.wait > Micros(0)) {
-    lane.pause_until = std::max(lane.pause_until, now_ + outcome.wait);
-  }
+  if (result == Result::kFull) lane.pause_until = std::max(lane.pause_until, now_ + outcome.wait);
   if (!call.judged && result != Result::kNotSent && result != Result::kCancelled) {  // one call, one fate
     call.judged = true;
     if (result == Result::kFull) Cut(lane);
     lane.lost += kShareMemory * ((result == Result::kTimeout ? 1 : 0) - lane.lost);
     Judge(lane.health, ok, call.sent);
-    if (route != nullptr) Judge(route->health, ok, call.sent);
+    Judge(route.health, ok, call.sent);
     if (ok) {
       const double latency = Seconds(outcome.latency);
       if (lane.mean <= 0) lane.mean = latency, lane.deviation = latency / 2;
@@ -737,14 +745,11 @@
   }
   if (--call.waiting == 0) {
     --lane.out;
-    if (route != nullptr) {
-      route->out = std::max(0, route->out - 1);
-      if (ok || result == Result::kFull || result == Result::kError) route->idle.push_back(now_);
-    }
+    --route.out;
+    if (ok || result == Result::kFull || result == Result::kError) route.idle.push_back(now_);
     calls_.erase(call_it);
   }
-  if (outcome.last) End(held);
-  Release(held);
+  outcome.last && !held.ended ? End(held) : Release(held);
 }
 
 }  // namespace
