--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -52,6 +52,11 @@
 constexpr double kKeyLifeUsed = 0.95;     // part of a key's life in which a repeat may still be sent
 constexpr int kRiskedCredit = 3;          // attempts that do not lessen the claim of what risks no more
 constexpr double kOpenReserve = 0.05;     // part of the holding room kept free for what comes
+constexpr Micros kOldConnection = milliseconds(300);  // idle for less: surely alive
+constexpr int kStaleSigns = 3;             // calls lost on old connections, less those answered, that tell
+constexpr Micros kFreshFor = seconds(10);  // then no old connection is used for so long
+constexpr double kCrowdedShare = 0.05;     // failed connects at lanes that were well: too few places
+constexpr double kCrowdedMemory = 0.05;    // weight of the newest connect in that share
 constexpr Micros kRecheck = milliseconds(20);  // while messages wait, look again this often
 
 double Seconds(Micros t) { return std::chrono::duration<double>(t).count(); }
@@ -113,6 +118,7 @@
   EndpointId endpoint;
   Micros sent{0};
   int zone = 0;
+  Micros idle_for{0};             // of the connection that it took; zero: a new one
   int waiting = 0, messages = 0;  // without an outcome; in all
   bool judged = false;
 };
@@ -209,6 +215,10 @@
     AnswerWhatIsOver();
     MakeRoom();
     Pump();
+    for (const auto& [home, id] : std::exchange(freed_, {})) {
+      Route* route = Find(*home, id);
+      if (route != nullptr && !route->idle.empty() && Crowded(*route)) Close(*route);
+    }
     ArmTimer();
   }
 
@@ -625,10 +635,6 @@
     if (!MaySend(held, route, lane)) return false;
     if (lane.out >= LaneRoom(route, lane)) return false;
     if (route.health.phase == Phase::kTrial && route.out > 0) return false;
-    if (lane.health.phase == Phase::kTrial) {
-      const bool last = set_.max_attempts > 0 && held.attempts + 1 >= set_.max_attempts;
-      if (last && Worth(held, Class(held).aim / 2) > 0) return false;  // kept for better times
-    }
     if (Tokens(lane) >= 1) return true;
     lane.bucket.waited = true;
     return false;
@@ -646,7 +652,11 @@
       if (lane.bucket.bound) lane.bucket.tokens -= 1;
       ++lane.out;
       ++route.out;
-      if (!route.idle.empty()) route.idle.pop_back();
+      if (StaleIdle(route)) Close(route);
+      if (!route.idle.empty()) {
+        call->idle_for = std::max(Micros(1), now_ - route.idle.back());
+        route.idle.pop_back();
+      }
     }
     held.call = turn_calls_[route.endpoint.id];
     ++call->waiting;
@@ -657,6 +667,42 @@
     host_.Send(held.message.id, route.endpoint.id, Timeout(held, lane));
   }
 
+  // ---- Connections --------------------------------------------------------------------------------------
+
+  void Close(Route& route) {
+    route.idle.clear();
+    host_.CloseIdle(route.endpoint.id);
+  }
+
+  // Against idle connections dropped unseen on the way (a reaper, a restarted proxy): calls on them are lost,
+  // on new ones not. Counted against old connections that still answer, so that a hang of less than half the
+  // traffic does not count. Costs new connections where a larger part hangs.
+  bool StaleIdle(const Route& route) const {
+    return now_ < fresh_until_ && !route.idle.empty() && now_ - route.idle.back() >= stale_after_ / 2;
+  }
+
+  // Places at an endpoint are few at some kinds and idle connections of all senders take them: where connects
+  // fail at lanes that were well before, connections of that kind are given back after use.
+  bool Crowded(const Route& route) const {
+    auto it = crowded_.find(route.endpoint.kind);
+    return it != crowded_.end() && it->second > kCrowdedShare;
+  }
+
+  void JudgeConnection(const Call& call, const Route& route, Result result, bool was_well) {
+    const bool lost = result == Result::kTimeout || result == Result::kReset;
+    if (call.idle_for <= Micros(0)) {
+      const double failed = was_well && result == Result::kNoConnection ? 1 : 0;
+      double& share = crowded_[route.endpoint.kind];
+      share += kCrowdedMemory * (failed - share);
+    } else if (lost && call.idle_for >= kOldConnection) {
+      stale_after_ = std::min(stale_after_, call.idle_for);
+      stale_signs_ = std::min(stale_signs_ + 1, kStaleSigns);
+      if (stale_signs_ == kStaleSigns) fresh_until_ = now_ + kFreshFor;
+    } else if (!lost && call.idle_for >= stale_after_) {
+      if (--stale_signs_ <= 0) stale_signs_ = 0, stale_after_ = Micros::max();
+    }
+  }
+
   void Pump() {
     std::vector<std::pair<double, Held*>> waiting;
     for (auto& [id, held] : held_) {
@@ -698,7 +744,11 @@
   Micros sweep_due_{Micros::min()};
   std::map<std::uint64_t, Destination> destinations_;
   std::map<std::uint64_t, Call> calls_;
-  std::map<EndpointId, std::uint64_t> turn_calls_;  // calls opened in this turn
+  std::map<EndpointId, std::uint64_t> turn_calls_;          // calls opened in this turn
+  std::vector<std::pair<Destination*, EndpointId>> freed_;  // endpoints where a call ended in this turn
+  std::map<int, double> crowded_;                           // by kind: share of new connections that failed
+  Micros stale_after_{Micros::max()}, fresh_until_{Micros::min()};
+  int stale_signs_ = 0;
 };
 
 void Impl::OnOutcome(const Outcome& outcome) {
@@ -730,6 +780,7 @@
     call.judged = true;
     if (result == Result::kFull) Cut(lane);
     lane.lost += kShareMemory * ((result == Result::kTimeout ? 1 : 0) - lane.lost);
+    JudgeConnection(call, route, result, lane.health.bad_run == 0);
     Judge(lane.health, ok, call.sent);
     Judge(route.health, ok, call.sent);
     if (ok) {
@@ -746,7 +797,10 @@
   if (--call.waiting == 0) {
     --lane.out;
     --route.out;
-    if (ok || result == Result::kFull || result == Result::kError) route.idle.push_back(now_);
+    if (ok || result == Result::kFull || result == Result::kError) {
+      route.idle.push_back(now_);
+      freed_.emplace_back(call.home, call.endpoint);
+    }
     calls_.erase(call_it);
   }
   outcome.last && !held.ended ? End(held) : Release(held);
--- a/src/brain.h
+++ b/src/brain.h
@@ -111,6 +111,7 @@
   virtual void Fail(MessageId id) = 0;                       // no promise about the effect
   virtual void SetTimer(Micros at) = 0;  // asks for a turn at that time, with or without other events
   virtual void Watch() = 0;              // subscribe to list changes
+  virtual void CloseIdle(const EndpointId& endpoint) = 0;  // this node's idle connections there
 };
 
 // Sizes of the state that an instance holds, for tests and monitoring.
--- a/src/wirehost/wire_host.cpp
+++ b/src/wirehost/wire_host.cpp
@@ -20,6 +20,7 @@
   void Fail(MessageId id) override { encoder_.Fail(node_, id); }
   void SetTimer(Micros at) override { encoder_.Sleep(node_, at, ++timers_); }
   void Watch() override { encoder_.Watch(node_, true); }
+  void CloseIdle(const EndpointId& endpoint) override { encoder_.CloseIdle(node_, endpoint); }
 
   void Take(const wire::Event& event) {
     std::visit(
--- a/tests/test_node.h
+++ b/tests/test_node.h
@@ -155,12 +155,14 @@
   }
   void SetTimer(Micros at) override { timers.push_back(at); }
   void Watch() override { watches.push_back(now_); }
+  void CloseIdle(const EndpointId& endpoint) override { closes.emplace_back(now_, endpoint); }
 
   Brain& brain() { return *brain_; }
 
   std::vector<Sent> sends;
   std::vector<Micros> timers;
   std::vector<Micros> watches;
+  std::vector<std::pair<Micros, EndpointId>> closes;
   std::map<MessageId, int> answers;  // final answers given, by message
   std::map<MessageId, Micros> refused;
   std::map<MessageId, Micros> failed;
