A refusal with a told limit in use is a limit, not an outage; least rate follows the own served rate

Told: the report that comes with the answer shows the limit in use, so the destination serves. Might harm where a shut destination counts refused calls against its limit; so a run of more than three is not believed, and a lane in trial is judged as before.

--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -19,10 +19,11 @@
 using std::chrono::seconds;
 
 // The token bucket (docs/design.md).
-constexpr double kDecreaseFactor = 0.7;  // share of the rate kept at a refusal: the source's default
-constexpr double kMinShare = 0.75;       // least rate / believed limit, before division by senders
-constexpr double kStepShare = 0.2;       // step / believed limit, before division by senders
-constexpr double kMaxOverServed = 2.0;   // greatest rate / best served rate, where no limit is told
+constexpr double kDecreaseFactor = 0.7;     // share of the rate kept at a refusal: the source's default
+constexpr double kMinShare = 0.75;          // least rate / believed limit, before division by senders
+constexpr Micros kLongestGap = seconds(5);  // between tokens: a held message gets a few tries in its life
+constexpr double kStepShare = 0.2;          // step / believed limit, before division by senders
+constexpr double kMaxOverServed = 2.0;      // greatest rate / best served rate, where no limit is told
 constexpr Micros kIncreaseInterval = seconds(1);
 constexpr Micros kBurst = seconds(1);         // a full bucket holds this much of its rate
 constexpr Micros kReopenAfter = seconds(20);  // unrefused so long: the limit is no longer there
@@ -36,9 +37,11 @@
 constexpr double kBudgetShare = 0.8;         // part of the allowed budget that is used: slack for chance
 constexpr Micros kLeastOutage = seconds(4);  // a shorter gap in service leaves nothing cold
 constexpr int kSingleHeadStart = 2;          // after one failure alone: part of the cold time taken as over
-constexpr double kExtraItemWeight = 0.2;     // load of each further message in one call
-constexpr double kOutageShare = 0.5;         // failing share of recent calls that is no blip
-constexpr double kShareMemory = 0.1;         // weight of the newest call in that share
+constexpr double kLimitInUse = 0.8;       // share left of a told limit under which it is taken to be in use
+constexpr int kLimitRun = 3;              // so many refusals in a row are explained by it
+constexpr double kExtraItemWeight = 0.2;  // load of each further message in one call
+constexpr double kOutageShare = 0.5;      // failing share of recent calls that is no blip
+constexpr double kShareMemory = 0.1;      // weight of the newest call in that share
 constexpr Micros kLeastTrialGap = milliseconds(250);
 constexpr Micros kTenantBurst = seconds(5);  // a tenant may run ahead of its even share by this much
 
@@ -94,6 +97,7 @@
   double mean = 0, deviation = 0;  // latency in seconds; 0: none seen
   double lost = 0;                 // share of recent calls without an answer
   int out = 0;                     // calls out
+  int at_limit = 0;                // refusals in a row that a limit in use explains
 };
 
 struct Destination;
@@ -428,9 +432,12 @@
     return health.phase == Phase::kRamp && now_ - health.ramp_from >= set_.cold ? Phase::kWarm : health.phase;
   }
 
-  double Limit(const Lane& lane) const {  // believed, all senders together
-    if (lane.limit > 0) return lane.limit;
-    return std::max(kLeastRate, lane.peak * set_.senders);
+  // Believed of all senders together: as told, or as if each were served as this one was of late, where that
+  // is more: of many senders few are busy at a destination, and an even part would starve those.
+  double Limit(const Lane& lane) const {
+    const double told = lane.limit > 0 ? lane.limit : std::max(kLeastRate, lane.peak * set_.senders);
+    const double age = Seconds(now_ - lane.served_at) / Seconds(kServedSpan);
+    return std::max(told, lane.served * std::exp(-age) / Seconds(kServedSpan) * set_.senders);
   }
 
   double MostRate(const Lane& lane) const {
@@ -457,8 +464,8 @@
       bucket.tokens = std::numeric_limits<double>::max();  // about one second of the new rate, see Fill
     }
     bucket.refused = now_;
-    const double least = kMinShare * Limit(lane) / set_.senders;
-    bucket.rate = std::clamp(bucket.rate * kDecreaseFactor, least, MostRate(lane));
+    const double least = std::max(kMinShare * Limit(lane) / set_.senders, 1 / Seconds(kLongestGap));
+    bucket.rate = std::clamp(bucket.rate * kDecreaseFactor, least, std::max(least, MostRate(lane)));
     Fill(bucket);
   }
 
@@ -781,8 +788,15 @@
     if (result == Result::kFull) Cut(lane);
     lane.lost += kShareMemory * ((result == Result::kTimeout ? 1 : 0) - lane.lost);
     JudgeConnection(call, route, result, lane.health.bad_run == 0);
-    Judge(lane.health, ok, call.sent);
-    Judge(route.health, ok, call.sent);
+    // Against taking a limit for an outage, above all where a sender calls now and then: a refusal that comes
+    // with a told limit in use says that the destination serves. A run of them is not believed.
+    lane.at_limit = result == Result::kFull && outcome.load.limit > 0 && outcome.load.left < kLimitInUse
+                        ? lane.at_limit + 1
+                        : 0;
+    if (lane.at_limit == 0 || lane.at_limit > kLimitRun || lane.health.phase == Phase::kTrial) {
+      Judge(lane.health, ok, call.sent);
+      Judge(route.health, ok, call.sent);
+    }
     if (ok) {
       const double latency = Seconds(outcome.latency);
       if (lane.mean <= 0) lane.mean = latency, lane.deviation = latency / 2;
