A sender's only message at a destination in trial is tried again after 5 s, then ever later

Cause: the return budget is an even part over all senders; with 300 of them a sparse sender's next trial came after minutes, and its message expired. Alone there, a trial is allowed once 5 s and 0.8 of the trial's time have gone since the last: tries at 0, 0, 5 and 25 s, so that the sum over senders stays about twice the traffic.

--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -42,6 +42,8 @@
 constexpr double kExtraItemWeight = 0.2;  // load of each further message in one call
 constexpr double kOutageShare = 0.5;      // failing share of recent calls that is no blip
 constexpr double kShareMemory = 0.1;      // weight of the newest call in that share
+constexpr Micros kAloneGap = seconds(5);  // least time between trials by a sender's only message
+constexpr double kAlonePart = 0.8;        // and part of the trial's time so far
 constexpr Micros kLeastTrialGap = milliseconds(250);
 constexpr Micros kTenantBurst = seconds(5);  // a tenant may run ahead of its even share by this much
 
@@ -74,7 +76,7 @@
   Micros last_ok{Micros::min()};                      // send time of the latest served call
   Micros trouble_from{Micros::min()};                 // last_ok when the trouble began
   Micros last_bad_sent{Micros::min()};  // send time of the latest call that failed or was refused
-  Micros ramp_from{0};
+  Micros ramp_from{0}, trial_from{0};
   double bad_share = 0;
   int bad_run = 0;                              // calls in a row that failed or were refused
   std::vector<std::pair<Micros, double>> sent;  // (time, weight) of calls
@@ -344,9 +346,10 @@
     if (route.endpoint.state != EndpointState::kReady) return false;  // rule 3
     if (now_ < lane.pause_until) return false;                        // rule 6
     if (joins) return true;  // rides on a call that passed here in this turn; its weight is counted
-    if (!InBudget(lane.health, ShareOf(lane))) return false;
+    const bool alone = route.home->held <= 1;
+    if (!InBudget(lane.health, ShareOf(lane), alone)) return false;
     if (Apart(route)) return true;
-    return InBudget(route.health, ShareOf(lane) / static_cast<double>(route.home->routes.size()));
+    return InBudget(route.health, ShareOf(lane) / static_cast<double>(route.home->routes.size()), alone);
   }
 
   // Every send passes here.
@@ -375,7 +378,7 @@
 
   // After an outage: at most so much in any fall span. Never less than a trickle, never more than the rule's
   // multiple of what the destination can do at this point of its warming.
-  bool InBudget(const Health& health, double share) const {
+  bool InBudget(const Health& health, double share, bool alone) const {
     if (PhaseOf(health) == Phase::kWarm || health.sent.empty()) return true;
     if (InDoubt(health) && health.before == Phase::kWarm) {
       return now_ - health.sent.back().first >= kLeastTrialGap;
@@ -389,6 +392,10 @@
     if (health.phase == Phase::kTrial) most = std::max(most, kTrialsPerFall / set_.senders);
     if (health.phase == Phase::kTrial && health.bad_run == 1) return true;  // the one that tells a blip
     const double since = Seconds(now_ - health.sent.back().first);
+    if (health.phase == Phase::kTrial && alone && since >= Seconds(kAloneGap) &&
+        since >= kAlonePart * Seconds(now_ - health.trial_from)) {
+      return true;
+    }
     if (most < 1) return since * most >= fall;
     double used = 1;
     for (const auto& [at, weight] : health.sent) used += now_ - at < set_.fall ? weight : 0;
@@ -413,6 +420,7 @@
       if (health.phase != Phase::kTrial) {
         health.before = PhaseOf(health);
         health.trouble_from = health.last_ok;
+        health.trial_from = now_;
         health.phase = Phase::kTrial;
       }
       health.last_bad_sent = std::max(health.last_bad_sent, sent);
