A tenant's share at a sender follows the sender's own traffic

Cause: quotas were split evenly over the senders; at 50 and more of them most messages of a busy node counted as beyond their tenant's share, came last and were handed back first. A sender's part of a quota is now an even one or as much as its part of all quotas (its own traffic over the last 10 s), whichever is more. Might mark too little where one tenant alone sends through a node; an even part still stands then as the least.

--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -45,6 +45,7 @@
 constexpr Micros kAloneGap = seconds(5);  // least time between trials by a sender's only message
 constexpr double kAlonePart = 0.8;        // and part of the trial's time so far
 constexpr Micros kLeastTrialGap = milliseconds(250);
+constexpr Micros kTakenSpan = seconds(10);   // over which a sender's own traffic is averaged
 constexpr Micros kTenantBurst = seconds(5);  // a tenant may run ahead of its even share by this much
 
 // Time-outs, slots and waking.
@@ -82,6 +83,21 @@
   std::vector<std::pair<Micros, double>> sent;  // (time, weight) of calls
 };
 
+// A rate in events a second, over a span that fades.
+struct Rate {
+  Micros span;
+  double count = 0;
+  Micros at{0};
+  double Now(Micros now) const {
+    return count * std::exp(-Seconds(now - at) / Seconds(span)) / Seconds(span);
+  }
+  double Add(Micros now) {
+    count = Now(now) * Seconds(span) + 1;
+    at = now;
+    return Now(now);
+  }
+};
+
 struct Bucket {
   bool bound = false;
   bool waited = false;          // a call waited for tokens since the last step
@@ -93,9 +109,10 @@
   Bucket bucket;
   Health health;
   Micros pause_until{Micros::min()};  // told wait
-  Micros used{Micros::min()}, served_at{0};
+  Micros used{Micros::min()};
   double limit = 0;                // told calls a second, all senders; 0: none told
-  double served = 0, peak = 0;     // decaying count of served calls; best served rate seen
+  Rate served{kServedSpan};        // calls
+  double peak = 0;                 // best served rate seen
   double mean = 0, deviation = 0;  // latency in seconds; 0: none seen
   double lost = 0;                 // share of recent calls without an answer
   int out = 0;                     // calls out
@@ -260,11 +277,16 @@
 
   bool InTurn(const Held& held) const { return Class(held).sequential && !held.message.key.empty(); }
 
-  // True if the tenant is past its share. A sender sees its own traffic only and takes an even part.
+  // True if the tenant is past its share. A sender sees its own traffic only; senders differ much in what
+  // they carry, so its part of a quota is an even one or as much as its part of all quotas, whichever is
+  // more.
   bool TakeShare(int tenant) {
     const auto index = static_cast<std::size_t>(tenant);
     if (index >= set_.tenants.size() || set_.tenants[index].quota_per_second <= 0) return false;
-    const double rate = set_.tenants[index].quota_per_second / set_.senders;
+    double quotas = 0;
+    for (const TenantSettings& t : set_.tenants) quotas += t.quota_per_second;
+    const double own = taken_.Add(now_) / quotas;
+    const double rate = set_.tenants[index].quota_per_second * std::max(1.0 / set_.senders, own);
     TenantUse& use = tenants_[tenant];
     const double most = std::max(1.0, rate * Seconds(kTenantBurst));
     use.credit = std::min(most, use.credit + rate * Seconds(now_ - use.at));
@@ -444,8 +466,7 @@
   // is more: of many senders few are busy at a destination, and an even part would starve those.
   double Limit(const Lane& lane) const {
     const double told = lane.limit > 0 ? lane.limit : std::max(kLeastRate, lane.peak * set_.senders);
-    const double age = Seconds(now_ - lane.served_at) / Seconds(kServedSpan);
-    return std::max(told, lane.served * std::exp(-age) / Seconds(kServedSpan) * set_.senders);
+    return std::max(told, lane.served.Now(now_) * set_.senders);
   }
 
   double MostRate(const Lane& lane) const {
@@ -756,6 +777,7 @@
   std::vector<MessageId> done_;
   std::map<std::string, KeyTurn> keys_;
   std::map<int, TenantUse> tenants_;
+  Rate taken_{kTakenSpan};
   Micros sweep_due_{Micros::min()};
   std::map<std::uint64_t, Destination> destinations_;
   std::map<std::uint64_t, Call> calls_;
@@ -810,9 +832,7 @@
       if (lane.mean <= 0) lane.mean = latency, lane.deviation = latency / 2;
       lane.deviation += kLatencyMemory * (std::abs(latency - lane.mean) - lane.deviation);
       lane.mean += kLatencyMemory * (latency - lane.mean);
-      lane.served = lane.served * std::exp(-Seconds(now_ - lane.served_at) / Seconds(kServedSpan)) + 1;
-      lane.served_at = now_;
-      lane.peak = std::max(lane.peak, lane.served / Seconds(kServedSpan));
+      lane.peak = std::max(lane.peak, lane.served.Add(now_));
       Raise(lane);
     }
   }
