--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -45,15 +45,14 @@
 constexpr Micros kAloneGap = seconds(5);  // least time between trials by a sender's only message
 constexpr double kAlonePart = 0.8;        // and part of the trial's time so far
 constexpr Micros kLeastTrialGap = milliseconds(250);
-constexpr Micros kTakenSpan = seconds(10);   // over which a sender's own traffic is averaged
-constexpr Micros kTenantBurst = seconds(5);  // a tenant may run ahead of its even share by this much
+constexpr Micros kTakenSpan = seconds(10);  // over which a sender's own traffic is averaged
+constexpr double kOverShare = 1.25;         // of its share: a tenant is past it
 
 // Time-outs, slots and waking.
 constexpr double kTimeoutDeviations = 8;  // time-out = mean + so many deviations: rarely cuts a live call
 constexpr int kMostDoublings = 4;         // of a message's time-out
 constexpr double kLostShare = 0.15;       // a lane that loses more of its calls is lossy, not slow
 constexpr double kLossyPatience = 0.5;    // part of the usual time-out given to a lossy lane
-constexpr double kOverdueDeviations = 3;  // a call out longer than this is a sign of a hung lane
 constexpr double kLatencyMemory = 0.15;   // weight of the newest latency
 constexpr double kKeyLifeUsed = 0.95;     // part of a key's life in which a repeat may still be sent
 constexpr int kRiskedCredit = 3;          // attempts that do not lessen the claim of what risks no more
@@ -164,11 +163,6 @@
   Micros rest_until{Micros::min()};
 };
 
-struct TenantUse {
-  double credit = std::numeric_limits<double>::max();  // as much as its burst, see TakeShare
-  Micros at{0};
-};
-
 class Impl final : public Brain {
  public:
   Impl(Settings settings, Host& host) : set_(std::move(settings)), host_(host) {
@@ -285,15 +279,10 @@
     if (index >= set_.tenants.size() || set_.tenants[index].quota_per_second <= 0) return false;
     double quotas = 0;
     for (const TenantSettings& t : set_.tenants) quotas += t.quota_per_second;
-    const double own = taken_.Add(now_) / quotas;
-    const double rate = set_.tenants[index].quota_per_second * std::max(1.0 / set_.senders, own);
-    TenantUse& use = tenants_[tenant];
-    const double most = std::max(1.0, rate * Seconds(kTenantBurst));
-    use.credit = std::min(most, use.credit + rate * Seconds(now_ - use.at));
-    use.at = now_;
-    if (use.credit < 1) return true;
-    use.credit -= 1;
-    return false;
+    const double part = std::max(1.0 / set_.senders, taken_.Add(now_) / quotas);
+    const double share = part * set_.tenants[index].quota_per_second;
+    Rate& use = tenants_.try_emplace(tenant, Rate{kTakenSpan}).first->second;
+    return use.Add(now_) > kOverShare * share + 1 / Seconds(kTakenSpan);
   }
 
   // When the key of a message that may have run is no longer sure to be remembered.
@@ -604,17 +593,9 @@
   // ---- Sending ------------------------------------------------------------------------------------------
 
   // Calls that may be out on a lane at once, so that one slow destination does not take every slot.
-  int LaneRoom(const Route& route, const Lane& lane) const {
+  int LaneRoom(const Lane& lane) const {
     if (lane.health.phase == Phase::kTrial) return InDoubt(lane.health) ? 2 : 1;
     if (set_.call_slots <= 0) return std::numeric_limits<int>::max();
-    const double overdue = lane.mean > 0 ? lane.mean + kOverdueDeviations * lane.deviation : 0;
-    for (const auto& [id, call] : calls_) {
-      if (overdue > 0 && call.home == route.home && (!Apart(route) || call.endpoint == route.endpoint.id) &&
-          Seconds(now_ - call.sent) > overdue &&
-          lane.health.last_ok <= call.sent) {  // and nothing sent later was served: hung, not lossy
-        return std::max(1, set_.call_slots / 6);
-      }
-    }
     return std::max(2, (set_.call_slots + 1) / 2);
   }
 
@@ -669,7 +650,7 @@
   bool HasRoom(const Held& held, const Route& route, Lane& lane) {
     if (set_.call_slots > 0 && static_cast<int>(calls_.size()) >= set_.call_slots) return false;
     if (!MaySend(held, route, lane)) return false;
-    if (lane.out >= LaneRoom(route, lane)) return false;
+    if (lane.out >= LaneRoom(lane)) return false;
     if (route.health.phase == Phase::kTrial && route.out > 0) return false;
     if (Tokens(lane) >= 1) return true;
     lane.bucket.waited = true;
@@ -776,7 +757,7 @@
   std::map<MessageId, Held> held_;
   std::vector<MessageId> done_;
   std::map<std::string, KeyTurn> keys_;
-  std::map<int, TenantUse> tenants_;
+  std::map<int, Rate> tenants_;
   Rate taken_{kTakenSpan};
   Micros sweep_due_{Micros::min()};
   std::map<std::uint64_t, Destination> destinations_;
