A refusal empties the bucket

Cause: the bucket was bound with a second's tokens, so that what was refused came again at once, and was refused again; where refused calls count against the limit, many senders starved a destination with that. The next token now comes at the cut rate.

--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -479,12 +479,11 @@
       for (const auto& [at, weight] : lane.health.sent)
         bucket.rate += now_ - at <= kBurst && weight >= 1 ? 1 : 0;
       bucket.filled = bucket.stepped = now_;
-      bucket.tokens = std::numeric_limits<double>::max();  // about one second of the new rate, see Fill
     }
+    bucket.tokens = 0;  // the refusal says that this second's are spent; the next comes at the new rate
     bucket.refused = now_;
     const double least = std::max(kMinShare * Limit(lane) / set_.senders, 1 / Seconds(kLongestGap));
     bucket.rate = std::clamp(bucket.rate * kDecreaseFactor, least, std::max(least, MostRate(lane)));
-    Fill(bucket);
   }
 
   void Raise(Lane& lane) {
