Retries after a refusal are drawn apart

Cause: messages of one clump that many senders were refused together came again in step. The first token after a refusal now comes between half and one and a half token times later, drawn from the seed.

--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -9,6 +9,7 @@
 #include <deque>
 #include <limits>
 #include <map>
+#include <random>
 #include <tuple>
 #include <utility>
 
@@ -167,6 +168,7 @@
  public:
   Impl(Settings settings, Host& host) : set_(std::move(settings)), host_(host) {
     set_.senders = std::max(1, set_.senders);
+    random_.seed(set_.seed);
     watch_due_ = set_.discovery == Discovery::kOnRequest ? Micros::min() : Micros::max();
   }
 
@@ -451,6 +453,8 @@
     return health.phase == Phase::kRamp && now_ - health.ramp_from >= set_.cold ? Phase::kWarm : health.phase;
   }
 
+  double Draw() { return static_cast<double>(random_()) / static_cast<double>(random_.max()); }  // 0 to 1
+
   // Believed of all senders together: as told, or as if each were served as this one was of late, where that
   // is more: of many senders few are busy at a destination, and an even part would starve those.
   double Limit(const Lane& lane) const {
@@ -480,7 +484,9 @@
         bucket.rate += now_ - at <= kBurst && weight >= 1 ? 1 : 0;
       bucket.filled = bucket.stepped = now_;
     }
-    bucket.tokens = 0;  // the refusal says that this second's are spent; the next comes at the new rate
+    // The refusal says that this second's are spent; the next comes at the new rate, not in step with the
+    // others that were refused together.
+    bucket.tokens = 0.5 - Draw();
     bucket.refused = now_;
     const double least = std::max(kMinShare * Limit(lane) / set_.senders, 1 / Seconds(kLongestGap));
     bucket.rate = std::clamp(bucket.rate * kDecreaseFactor, least, std::max(least, MostRate(lane)));
@@ -758,6 +764,7 @@
   std::map<std::string, KeyTurn> keys_;
   std::map<int, Rate> tenants_;
   Rate taken_{kTakenSpan};
+  std::mt19937_64 random_;
   Micros sweep_due_{Micros::min()};
   std::map<std::uint64_t, Destination> destinations_;
   std::map<std::uint64_t, Call> calls_;
