Trials of a sender's only message are drawn over the time that the return budget needs for a clump

It follows the rule's own figures. Might cost where one sender alone meets a short outage with one message: 5 s was sooner.

--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -38,13 +38,12 @@
 constexpr double kBudgetShare = 0.8;         // part of the allowed budget that is used: slack for chance
 constexpr Micros kLeastOutage = seconds(4);  // a shorter gap in service leaves nothing cold
 constexpr int kSingleHeadStart = 2;          // after one failure alone: part of the cold time taken as over
-constexpr double kLimitInUse = 0.8;       // share left of a told limit under which it is taken to be in use
-constexpr int kLimitRun = 3;              // so many refusals in a row are explained by it
-constexpr double kExtraItemWeight = 0.2;  // load of each further message in one call
-constexpr double kOutageShare = 0.5;      // failing share of recent calls that is no blip
-constexpr double kShareMemory = 0.1;      // weight of the newest call in that share
-constexpr Micros kAloneGap = seconds(5);  // least time between trials by a sender's only message
-constexpr double kAlonePart = 0.8;        // and part of the trial's time so far
+constexpr double kLimitInUse = 0.8;         // share left of a told limit under which it is taken to be in use
+constexpr int kLimitRun = 3;                // so many refusals in a row are explained by it
+constexpr double kExtraItemWeight = 0.2;    // load of each further message in one call
+constexpr double kOutageShare = 0.5;        // failing share of recent calls that is no blip
+constexpr double kShareMemory = 0.1;        // weight of the newest call in that share
+constexpr Micros kAloneClump = seconds(4);  // of a destination's calls may wait at as many senders, one each
 constexpr Micros kLeastTrialGap = milliseconds(250);
 constexpr Micros kTakenSpan = seconds(10);  // over which a sender's own traffic is averaged
 constexpr double kOverShare = 1.25;         // of its share: a tenant is past it
@@ -77,7 +76,8 @@
   Micros last_ok{Micros::min()};                      // send time of the latest served call
   Micros trouble_from{Micros::min()};                 // last_ok when the trouble began
   Micros last_bad_sent{Micros::min()};  // send time of the latest call that failed or was refused
-  Micros ramp_from{0}, trial_from{0};
+  Micros ramp_from{0};
+  double alone_gap = 0;  // seconds until a sender's only message may be the next trial
   double bad_share = 0;
   int bad_run = 0;                              // calls in a row that failed or were refused
   std::vector<std::pair<Micros, double>> sent;  // (time, weight) of calls
@@ -405,10 +405,7 @@
     if (health.phase == Phase::kTrial) most = std::max(most, kTrialsPerFall / set_.senders);
     if (health.phase == Phase::kTrial && health.bad_run == 1) return true;  // the one that tells a blip
     const double since = Seconds(now_ - health.sent.back().first);
-    if (health.phase == Phase::kTrial && alone && since >= Seconds(kAloneGap) &&
-        since >= kAlonePart * Seconds(now_ - health.trial_from)) {
-      return true;
-    }
+    if (health.phase == Phase::kTrial && alone && since >= health.alone_gap) return true;
     if (most < 1) return since * most >= fall;
     double used = 1;
     for (const auto& [at, weight] : health.sent) used += now_ - at < set_.fall ? weight : 0;
@@ -430,10 +427,11 @@
     health.bad_share += kShareMemory * ((ok ? 0 : 1) - health.bad_share);
     if (!ok) {
       ++health.bad_run;
+      health.alone_gap =
+          2 * Draw() * Seconds(kAloneClump) / (kBudgetShare * set_.overload_factor * set_.cold_from);
       if (health.phase != Phase::kTrial) {
         health.before = PhaseOf(health);
         health.trouble_from = health.last_ok;
-        health.trial_from = now_;
         health.phase = Phase::kTrial;
       }
       health.last_bad_sent = std::max(health.last_bad_sent, sent);
