A failed connect at a crowded kind is no sign of an outage

Cause: with full connection tables a sparse sender took each failed connect for a possible outage and waited on the return budget. Up to three in a row at a kind whose connects fail while its lanes are well are not judged. Also covers any shortage of places; might harm in a crash at such a kind: three quick tries a sender before its trial.

--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -39,7 +39,7 @@
 constexpr Micros kLeastOutage = seconds(4);  // a shorter gap in service leaves nothing cold
 constexpr int kSingleHeadStart = 2;          // after one failure alone: part of the cold time taken as over
 constexpr double kLimitInUse = 0.8;         // share left of a told limit under which it is taken to be in use
-constexpr int kLimitRun = 3;                // so many refusals in a row are explained by it
+constexpr int kExplainedRun = 3;            // so many failures in a row are explained without an outage
 constexpr double kExtraItemWeight = 0.2;    // load of each further message in one call
 constexpr double kOutageShare = 0.5;        // failing share of recent calls that is no blip
 constexpr double kShareMemory = 0.1;        // weight of the newest call in that share
@@ -116,7 +116,7 @@
   double mean = 0, deviation = 0;  // latency in seconds; 0: none seen
   double lost = 0;                 // share of recent calls without an answer
   int out = 0;                     // calls out
-  int at_limit = 0;                // refusals in a row that a limit in use explains
+  int explained = 0;               // refusals and failed connects in a row that need no outage
 };
 
 struct Destination;
@@ -804,11 +804,12 @@
     lane.lost += kShareMemory * ((result == Result::kTimeout ? 1 : 0) - lane.lost);
     JudgeConnection(call, route, result, lane.health.bad_run == 0);
     // Against taking a limit for an outage, above all where a sender calls now and then: a refusal that comes
-    // with a told limit in use says that the destination serves. A run of them is not believed.
-    lane.at_limit = result == Result::kFull && outcome.load.limit > 0 && outcome.load.left < kLimitInUse
-                        ? lane.at_limit + 1
-                        : 0;
-    if (lane.at_limit == 0 || lane.at_limit > kLimitRun || lane.health.phase == Phase::kTrial) {
+    // with a told limit in use says that the destination serves, a failed connect at a crowded kind that it
+    // has no place. A run of them is not believed.
+    const bool limit = result == Result::kFull && outcome.load.limit > 0 && outcome.load.left < kLimitInUse;
+    const bool explained = limit || (result == Result::kNoConnection && Crowded(route));
+    lane.explained = explained ? lane.explained + 1 : 0;
+    if (!explained || lane.explained > kExplainedRun || lane.health.phase == Phase::kTrial) {
       Judge(lane.health, ok, call.sent);
       Judge(route.health, ok, call.sent);
     }
