Trials of single messages over 8 s of calls; folded text; latency memory stays 0.15

Folded: classes, kinds and the turn's calls found by reference, one greatest rate, one gap between calls for the list.

--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -24,7 +24,6 @@
 constexpr double kMinShare = 0.75;          // least rate / believed limit, before division by senders
 constexpr Micros kLongestGap = seconds(5);  // between tokens: a held message gets a few tries in its life
 constexpr double kStepShare = 0.2;          // step / believed limit, before division by senders
-constexpr double kMaxOverServed = 2.0;      // greatest rate / best served rate, where no limit is told
 constexpr Micros kIncreaseInterval = seconds(1);
 constexpr Micros kBurst = seconds(1);         // a full bucket holds this much of its rate
 constexpr Micros kReopenAfter = seconds(20);  // unrefused so long: the limit is no longer there
@@ -42,8 +41,8 @@
 constexpr int kExplainedRun = 3;            // so many failures in a row are explained without an outage
 constexpr double kExtraItemWeight = 0.2;    // load of each further message in one call
 constexpr double kOutageShare = 0.5;        // failing share of recent calls that is no blip
-constexpr double kShareMemory = 0.1;        // weight of the newest call in that share
-constexpr Micros kAloneClump = seconds(4);  // of a destination's calls may wait at as many senders, one each
+constexpr double kMemory = 0.1;             // weight of the newest call in shares and latencies
+constexpr Micros kAloneClump = seconds(8);  // of a destination's calls may wait at as many senders, one each
 constexpr Micros kLeastTrialGap = milliseconds(250);
 constexpr Micros kTakenSpan = seconds(10);  // over which a sender's own traffic is averaged
 constexpr double kOverShare = 1.25;         // of its share: a tenant is past it
@@ -53,7 +52,7 @@
 constexpr int kMostDoublings = 4;         // of a message's time-out
 constexpr double kLostShare = 0.15;       // a lane that loses more of its calls is lossy, not slow
 constexpr double kLossyPatience = 0.5;    // part of the usual time-out given to a lossy lane
-constexpr double kLatencyMemory = 0.15;   // weight of the newest latency
+constexpr double kLatencyMemory = 0.15;  // weight of the newest latency
 constexpr double kKeyLifeUsed = 0.95;     // part of a key's life in which a repeat may still be sent
 constexpr int kRiskedCredit = 3;          // attempts that do not lessen the claim of what risks no more
 constexpr double kOpenReserve = 0.05;     // part of the holding room kept free for what comes
@@ -62,7 +61,8 @@
 constexpr Micros kFreshFor = seconds(10);  // then no old connection is used for so long
 constexpr double kCrowdedShare = 0.05;     // failed connects at lanes that were well: too few places
 constexpr double kCrowdedMemory = 0.05;    // weight of the newest connect in that share
-constexpr Micros kRecheck = milliseconds(20);  // while messages wait, look again this often
+constexpr Micros kLeastAskGap = milliseconds(500);  // between calls for the list
+constexpr Micros kRecheck = milliseconds(20);       // while messages wait, look again this often
 
 double Seconds(Micros t) { return std::chrono::duration<double>(t).count(); }
 
@@ -123,10 +123,12 @@
 
 struct Route {  // an endpoint; kept as gone while its lane may not be forgotten
   Endpoint endpoint;
+  KindSettings kind;
   Destination* home = nullptr;
   Lane own;       // where routes are apart
   Health health;  // its own: bounds calls where the lane is shared, ranks the endpoint everywhere
   int out = 0;
+  std::uint64_t last_call = 0;
   std::vector<Micros> idle;  // connections believed idle, by the time they became so
 };
 
@@ -148,6 +150,7 @@
 
 struct Held {
   Message message;
+  const ClassSettings* c = nullptr;
   Destination* home = nullptr;
   bool over_share = false;
   bool ended = false;  // answered; kept only while an attempt is out
@@ -187,19 +190,17 @@
       Route* route = Find(home, entry.id);
       if (route == nullptr) route = &home.routes.emplace_back();
       route->endpoint = entry;
+      const auto kind = static_cast<std::size_t>(entry.kind);
+      if (kind < set_.kinds.size()) route->kind = set_.kinds[kind];
       route->home = &home;
     }
-    watch_failures_ = 0;
   }
 
-  // The watch may or may not stand after a failure: ask anew, less often while it keeps failing, and always
-  // inside the time after which an old list would count as told (rule 3).
+  // The watch may or may not stand after a failure: ask anew, well inside the time after which an old list
+  // would count as told (rule 3).
   void OnListFailed() override {
     if (set_.discovery != Discovery::kOnRequest) return;
-    const Micros longest = std::max<Micros>(set_.must_ask_in / 2, milliseconds(500));
-    const Micros wait = std::min(longest, longest / 8 * (1 << std::min(watch_failures_, 3)));
-    ++watch_failures_;
-    watch_due_ = std::min(watch_due_, now_ + wait);
+    watch_due_ = std::min(watch_due_, now_ + std::max<Micros>(set_.must_ask_in / 4, kLeastAskGap));
   }
 
   void OnMessage(const Message& message) override {
@@ -207,6 +208,8 @@
     if (!is_new) return;
     Held& held = it->second;
     held.message = message;
+    const auto index = static_cast<std::size_t>(message.message_class);
+    held.c = index < set_.classes.size() ? &set_.classes[index] : &unknown_;
     held.home = &destinations_[message.destination];
     ++held.home->held;
     held.over_share = TakeShare(message.tenant);
@@ -225,12 +228,11 @@
       watch_due_ = Micros::max();
       host_.Watch();
     }
-    turn_calls_.clear();
+    turn_from_call_ = last_call_;
     for (MessageId id : std::exchange(done_, {})) {
       --held_.at(id).home->held;
       held_.erase(id);
     }
-    if (now_ >= sweep_due_) ForgetIdle();
     AnswerWhatIsOver();
     MakeRoom();
     Pump();
@@ -238,6 +240,7 @@
       Route* route = Find(*home, id);
       if (route != nullptr && !route->idle.empty() && Crowded(*route)) Close(*route);
     }
+    if (now_ >= sweep_due_) ForgetIdle();
     ArmTimer();
   }
 
@@ -258,20 +261,7 @@
     return nullptr;
   }
 
-  // ---- Settings and worth -------------------------------------------------------------------------------
-
-  const ClassSettings& Class(const Held& held) const {
-    static const ClassSettings kNone;  // an unknown class: unsafe, worth nothing
-    const auto index = static_cast<std::size_t>(held.message.message_class);
-    return index < set_.classes.size() ? set_.classes[index] : kNone;
-  }
-
-  KindSettings Kind(const Endpoint& endpoint) const {
-    const auto index = static_cast<std::size_t>(endpoint.kind);
-    return index < set_.kinds.size() ? set_.kinds[index] : KindSettings{};
-  }
-
-  bool InTurn(const Held& held) const { return Class(held).sequential && !held.message.key.empty(); }
+  bool InTurn(const Held& held) const { return held.c->sequential && !held.message.key.empty(); }
 
   // True if the tenant is past its share. A sender sees its own traffic only; senders differ much in what
   // they carry, so its part of a quota is an even one or as much as its part of all quotas, whichever is
@@ -289,21 +279,20 @@
 
   // When the key of a message that may have run is no longer sure to be remembered.
   Micros RepeatUntil(const Held& held) const {
-    const ClassSettings& c = Class(held);
-    if (!held.may_have_run || c.effect != Effect::kKeyed) return Micros::max();
-    return held.first_run + ToMicros(Seconds(c.key_ttl) * kKeyLifeUsed);
+    if (!held.may_have_run || held.c->effect != Effect::kKeyed) return Micros::max();
+    return held.first_run + ToMicros(Seconds(held.c->key_ttl) * kKeyLifeUsed);
   }
 
   // Worth of an answer that comes `ahead` from now.
   double Worth(const Held& held, Micros ahead) const {
-    const ClassSettings& c = Class(held);
     const Micros left = held.message.give_up_at - now_ - ahead;
     if (left <= Micros(0) || now_ + ahead > RepeatUntil(held)) return 0;
-    const double full = c.worth * (held.over_share ? set_.over_share_worth : 1);
-    const Micros late = c.deadline - left - c.aim;
-    if (late <= Micros(0) || c.aim <= Micros(0) || c.deadline <= c.aim) return full;
-    const double even = 1 - (1 - c.late_value) * Seconds(late) / Seconds(c.deadline - c.aim);
-    const double by_half = std::max(c.late_value, std::exp2(-Seconds(late) / Seconds(c.aim)));
+    const double full = held.c->worth * (held.over_share ? set_.over_share_worth : 1);
+    const Micros late = held.c->deadline - left - held.c->aim;
+    if (late <= Micros(0) || held.c->aim <= Micros(0) || held.c->deadline <= held.c->aim) return full;
+    const double even =
+        1 - (1 - held.c->late_value) * Seconds(late) / Seconds(held.c->deadline - held.c->aim);
+    const double by_half = std::max(held.c->late_value, std::exp2(-Seconds(late) / Seconds(held.c->aim)));
     return full * (set_.decay == Decay::kByHalf ? by_half : even);
   }
 
@@ -311,8 +300,8 @@
   // so that one message does not use up all trials of a dead destination; the first few are free for what
   // a trial puts at no further risk, so that a hung destination catches few others.
   double Claim(const Held& held) const {
-    const double loss = Worth(held, Micros(0)) - Worth(held, Class(held).aim);
-    const bool risked = held.may_have_run || Class(held).effect == Effect::kSafe;
+    const double loss = Worth(held, Micros(0)) - Worth(held, held.c->aim);
+    const bool risked = held.may_have_run || held.c->effect == Effect::kSafe;
     return std::ldexp(loss, -std::max(0, held.attempts - (risked ? kRiskedCredit : 0)));
   }
 
@@ -320,9 +309,8 @@
 
   // Rule 2: a refusal promises that handing in again is harmless.
   bool MayRefuse(const Held& held) const {
-    const ClassSettings& c = Class(held);
-    const bool drops_repeats = c.effect == Effect::kKeyed && c.group == Group::kAll;
-    return !held.out && (!held.may_have_run || c.effect == Effect::kSafe || drops_repeats);
+    const bool drops_repeats = held.c->effect == Effect::kKeyed && held.c->group == Group::kAll;
+    return !held.out && (!held.may_have_run || held.c->effect == Effect::kSafe || drops_repeats);
   }
 
   // Rule 1: the one place where a final answer is given.
@@ -340,9 +328,8 @@
   bool MayAttempt(const Held& held) const {
     if (held.ended || held.out || now_ >= held.message.give_up_at) return false;
     if (set_.max_attempts > 0 && held.attempts >= set_.max_attempts) return false;
-    const ClassSettings& c = Class(held);
-    if (!held.may_have_run || c.effect == Effect::kSafe) return true;
-    return c.effect == Effect::kKeyed && c.group != Group::kCell && now_ <= RepeatUntil(held);
+    if (!held.may_have_run || held.c->effect == Effect::kSafe) return true;
+    return held.c->effect == Effect::kKeyed && held.c->group != Group::kCell && now_ <= RepeatUntil(held);
   }
 
   // Rule 5: the earliest message of its key that is unfinished, and no rest on the key.
@@ -361,15 +348,14 @@
     if (joins) return true;  // rides on a call that passed here in this turn; its weight is counted
     const bool alone = route.home->held <= 1;
     if (!InBudget(lane.health, ShareOf(lane), alone)) return false;
-    if (Apart(route)) return true;
+    if (route.kind.separate_routes) return true;
     return InBudget(route.health, ShareOf(lane) / static_cast<double>(route.home->routes.size()), alone);
   }
 
   // Every send passes here.
   bool MaySend(const Held& held, const Route& route, const Lane& lane, bool joins = false) const {
     if (!MayAttempt(held) || !HasTurn(held)) return false;
-    const ClassSettings& c = Class(held);
-    const bool bound = held.may_have_run && c.effect == Effect::kKeyed && c.group == Group::kZone;
+    const bool bound = held.may_have_run && held.c->effect == Effect::kKeyed && held.c->group == Group::kZone;
     if (bound && route.endpoint.zone != held.run_zone) return false;
     return route.home == held.home && MayCall(route, lane, joins);
   }
@@ -424,7 +410,7 @@
   // Any failure or refusal may be an outage. A served call then tells: if the time without service was under
   // kLeastOutage and few calls fail, it was a blip or a limit; else the destination is cold and returns.
   void Judge(Health& health, bool ok, Micros sent) {
-    health.bad_share += kShareMemory * ((ok ? 0 : 1) - health.bad_share);
+    health.bad_share += kMemory * ((ok ? 0 : 1) - health.bad_share);
     if (!ok) {
       ++health.bad_run;
       health.alone_gap =
@@ -460,10 +446,6 @@
     return std::max(told, lane.served.Now(now_) * set_.senders);
   }
 
-  double MostRate(const Lane& lane) const {
-    return lane.limit > 0 ? lane.limit : kMaxOverServed * Limit(lane);
-  }
-
   void Fill(Bucket& bucket) {
     if (!bucket.bound) return;
     const double most = std::max(1.0, bucket.rate * Seconds(kBurst));
@@ -487,7 +469,7 @@
     bucket.tokens = 0.5 - Draw();
     bucket.refused = now_;
     const double least = std::max(kMinShare * Limit(lane) / set_.senders, 1 / Seconds(kLongestGap));
-    bucket.rate = std::clamp(bucket.rate * kDecreaseFactor, least, std::max(least, MostRate(lane)));
+    bucket.rate = std::clamp(bucket.rate * kDecreaseFactor, least, std::max(least, Limit(lane)));
   }
 
   void Raise(Lane& lane) {
@@ -495,7 +477,7 @@
     if (!bucket.bound || !bucket.waited || now_ - bucket.stepped < kIncreaseInterval) return;
     Fill(bucket);
     const double step = kStepShare * Limit(lane) / set_.senders;
-    bucket.rate = std::min(std::max(MostRate(lane), bucket.rate), bucket.rate + step);
+    bucket.rate = std::min(std::max(Limit(lane), bucket.rate), bucket.rate + step);
     bucket.stepped = now_;
     bucket.waited = false;
   }
@@ -547,10 +529,8 @@
     if (now_ >= lane.pause_until && (!listed || PhaseOf(lane.health) == Phase::kWarm)) lane = Lane{};
   }
 
-  bool Apart(const Route& route) const { return Kind(route.endpoint).separate_routes; }
-
   Lane& LaneOf(Route& route) {
-    Lane& lane = Apart(route) ? route.own : route.home->shared;
+    Lane& lane = route.kind.separate_routes ? route.own : route.home->shared;
     if (lane.used == Micros::min()) lane.used = now_;
     return lane;
   }
@@ -581,9 +561,7 @@
       double least_worth = 0;
       for (auto& [id, held] : held_) {
         if (held.ended || !MayRefuse(held)) continue;
-        std::vector<Route>& routes = held.home->routes;
-        const bool shut = routes.empty() || LaneOf(routes.front()).health.phase == Phase::kTrial;
-        const double worth = Worth(held, shut ? set_.cold : Micros(0));
+        const double worth = Worth(held, Micros(0));
         if (least != nullptr && worth > least_worth) continue;
         least = &held;
         least_worth = worth;
@@ -603,11 +581,11 @@
   }
 
   Micros Timeout(const Held& held, const Lane& lane) const {
-    const ClassSettings& c = Class(held);
     const bool lossy = lane.lost >= kLostShare && PhaseOf(lane.health) == Phase::kWarm;
     const double patience = lossy ? kLossyPatience : 1;
-    const double seen = lane.mean > 0 ? lane.mean + kTimeoutDeviations * lane.deviation : Seconds(c.aim);
-    const Micros base = ToMicros(patience * std::max(Seconds(c.aim) / 2, seen));
+    const double seen =
+        lane.mean > 0 ? lane.mean + kTimeoutDeviations * lane.deviation : Seconds(held.c->aim);
+    const Micros base = ToMicros(patience * std::max(Seconds(held.c->aim) / 2, seen));
     // A message that timed out may just be slow: it gets more time, within limits while its lane is in trial.
     const int most = lane.health.phase == Phase::kTrial ? 1 : kMostDoublings;
     return std::min<Micros>(base * (1 << std::min(held.timeouts, most)), held.message.give_up_at - now_);
@@ -622,15 +600,13 @@
     if (route.idle.empty()) load += 1;  // a new connection takes time, and one of a few places
     if (route.endpoint.zone != set_.own_zone && set_.price_cross_zone > 0) load += 1;
     load += 4 * route.health.bad_share;
-    return Apart(route) ? std::tuple{-Tokens(lane), fee, load} : std::tuple{0.0, 0.0, load};
+    return route.kind.separate_routes ? std::tuple{-Tokens(lane), fee, load} : std::tuple{0.0, 0.0, load};
   }
 
-  // A call opened in this turn that has room for one message more: it costs no slot and no token.
+  // A call opened in this turn that has room for one more message: that costs no slot and no token.
   Call* OpenCall(const Route& route) {
-    auto turn = turn_calls_.find(route.endpoint.id);
-    if (turn == turn_calls_.end()) return nullptr;
-    Call& call = calls_.at(turn->second);
-    return call.messages < Kind(route.endpoint).per_call ? &call : nullptr;
+    auto it = route.last_call > turn_from_call_ ? calls_.find(route.last_call) : calls_.end();
+    return it != calls_.end() && it->second.messages < route.kind.per_call ? &it->second : nullptr;
   }
 
   Route* Choose(const Held& held) {
@@ -666,8 +642,7 @@
     const bool joins = call != nullptr;
     if (!MaySend(held, route, lane, joins)) return;  // the guard
     if (!joins) {
-      turn_calls_[route.endpoint.id] = ++last_call_;
-      call = &calls_[last_call_];
+      call = &calls_[route.last_call = ++last_call_];
       *call = {route.home, route.endpoint.id, now_, route.endpoint.zone};
       if (lane.bucket.bound) lane.bucket.tokens -= 1;
       ++lane.out;
@@ -678,7 +653,7 @@
         route.idle.pop_back();
       }
     }
-    held.call = turn_calls_[route.endpoint.id];
+    held.call = route.last_call;
     ++call->waiting;
     ++call->messages;
     Log(route, lane, joins ? kExtraItemWeight : 1);
@@ -687,8 +662,6 @@
     host_.Send(held.message.id, route.endpoint.id, Timeout(held, lane));
   }
 
-  // ---- Connections --------------------------------------------------------------------------------------
-
   void Close(Route& route) {
     route.idle.clear();
     host_.CloseIdle(route.endpoint.id);
@@ -724,17 +697,13 @@
   }
 
   void Pump() {
-    std::vector<std::pair<double, Held*>> waiting;
+    std::vector<std::tuple<double, Micros, MessageId, Held*>> waiting;
     for (auto& [id, held] : held_) {
-      if (MayAttempt(held)) waiting.emplace_back(-Claim(held), &held);
+      if (MayAttempt(held)) waiting.emplace_back(-Claim(held), held.message.give_up_at, id, &held);
     }
-    std::stable_sort(waiting.begin(), waiting.end(), [](const auto& a, const auto& b) {
-      return std::tie(a.first, a.second->message.give_up_at) <
-             std::tie(b.first, b.second->message.give_up_at);
-    });
-    for (auto& [claim, held] : waiting) {
-      Route* route = Choose(*held);
-      if (route != nullptr) SendTo(*held, *route);
+    std::sort(waiting.begin(), waiting.end());
+    for (const auto& [claim, give_up_at, id, held] : waiting) {
+      if (Route* route = Choose(*held)) SendTo(*held, *route);
     }
   }
 
@@ -750,13 +719,13 @@
   }
 
   Settings set_;
+  const ClassSettings unknown_;  // unsafe, worth nothing
   Host& host_;
   Micros now_{0};
   Micros timer_{Micros::max()};
   Micros watch_due_{Micros::max()};
-  int watch_failures_ = 0;
   int open_ = 0;
-  std::uint64_t last_call_ = 0;
+  std::uint64_t last_call_ = 0, turn_from_call_ = 0;  // calls after that one were opened in this turn
   std::map<MessageId, Held> held_;
   std::vector<MessageId> done_;
   std::map<std::string, KeyTurn> keys_;
@@ -766,7 +735,6 @@
   Micros sweep_due_{Micros::min()};
   std::map<std::uint64_t, Destination> destinations_;
   std::map<std::uint64_t, Call> calls_;
-  std::map<EndpointId, std::uint64_t> turn_calls_;          // calls opened in this turn
   std::vector<std::pair<Destination*, EndpointId>> freed_;  // endpoints where a call ended in this turn
   std::map<int, double> crowded_;                           // by kind: share of new connections that failed
   Micros stale_after_{Micros::max()}, fresh_until_{Micros::min()};
@@ -801,12 +769,13 @@
   if (!call.judged && result != Result::kNotSent && result != Result::kCancelled) {  // one call, one fate
     call.judged = true;
     if (result == Result::kFull) Cut(lane);
-    lane.lost += kShareMemory * ((result == Result::kTimeout ? 1 : 0) - lane.lost);
+    lane.lost += kMemory * ((result == Result::kTimeout ? 1 : 0) - lane.lost);
     JudgeConnection(call, route, result, lane.health.bad_run == 0);
     // Against taking a limit for an outage, above all where a sender calls now and then: a refusal that comes
     // with a told limit in use says that the destination serves, a failed connect at a crowded kind that it
     // has no place. A run of them is not believed.
-    const bool limit = result == Result::kFull && outcome.load.limit > 0 && outcome.load.left < kLimitInUse;
+    const bool told = outcome.load.limit > 0 && outcome.load.left >= 0;
+    const bool limit = result == Result::kFull && told && outcome.load.left < kLimitInUse;
     const bool explained = limit || (result == Result::kNoConnection && Crowded(route));
     lane.explained = explained ? lane.explained + 1 : 0;
     if (!explained || lane.explained > kExplainedRun || lane.health.phase == Phase::kTrial) {
