Step and greatest rate follow the told limit only; explained failures still rank endpoints

Cause: tests of the module: with the served rate in the believed limit a rate rose past the told limit. The served rate now counts for the least rate alone. A failed connect that needs no outage still puts its endpoint behind the others.

--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -44,15 +44,15 @@
 constexpr double kMemory = 0.1;             // weight of the newest call in shares and latencies
 constexpr Micros kAloneClump = seconds(8);  // of a destination's calls may wait at as many senders, one each
 constexpr Micros kLeastTrialGap = milliseconds(250);
-constexpr Micros kTakenSpan = seconds(10);  // over which a sender's own traffic is averaged
-constexpr double kOverShare = 1.25;         // of its share: a tenant is past it
+constexpr Micros kTakenSpan = seconds(5);  // over which a sender's own traffic is averaged
+constexpr double kOverShare = 1.25;        // of its share: a tenant is past it
 
 // Time-outs, slots and waking.
 constexpr double kTimeoutDeviations = 8;  // time-out = mean + so many deviations: rarely cuts a live call
 constexpr int kMostDoublings = 4;         // of a message's time-out
 constexpr double kLostShare = 0.15;       // a lane that loses more of its calls is lossy, not slow
 constexpr double kLossyPatience = 0.5;    // part of the usual time-out given to a lossy lane
-constexpr double kLatencyMemory = 0.15;  // weight of the newest latency
+constexpr double kLatencyMemory = 0.15;   // weight of the newest latency
 constexpr double kKeyLifeUsed = 0.95;     // part of a key's life in which a repeat may still be sent
 constexpr int kRiskedCredit = 3;          // attempts that do not lessen the claim of what risks no more
 constexpr double kOpenReserve = 0.05;     // part of the holding room kept free for what comes
@@ -439,11 +439,9 @@
 
   double Draw() { return static_cast<double>(random_()) / static_cast<double>(random_.max()); }  // 0 to 1
 
-  // Believed of all senders together: as told, or as if each were served as this one was of late, where that
-  // is more: of many senders few are busy at a destination, and an even part would starve those.
+  // Believed of all senders together, and the greatest rate of one.
   double Limit(const Lane& lane) const {
-    const double told = lane.limit > 0 ? lane.limit : std::max(kLeastRate, lane.peak * set_.senders);
-    return std::max(told, lane.served.Now(now_) * set_.senders);
+    return lane.limit > 0 ? lane.limit : std::max(kLeastRate, lane.peak * set_.senders);
   }
 
   void Fill(Bucket& bucket) {
@@ -468,7 +466,10 @@
     // others that were refused together.
     bucket.tokens = 0.5 - Draw();
     bucket.refused = now_;
-    const double least = std::max(kMinShare * Limit(lane) / set_.senders, 1 / Seconds(kLongestGap));
+    // Of many senders few are busy at a destination, and an even part would starve those: the least rate is
+    // also that of the own part served of late, and of a call now and then.
+    const double part = std::max(Limit(lane) / set_.senders, lane.served.Now(now_));
+    const double least = std::max(kMinShare * part, 1 / Seconds(kLongestGap));
     bucket.rate = std::clamp(bucket.rate * kDecreaseFactor, least, std::max(least, Limit(lane)));
   }
 
@@ -781,6 +782,8 @@
     if (!explained || lane.explained > kExplainedRun || lane.health.phase == Phase::kTrial) {
       Judge(lane.health, ok, call.sent);
       Judge(route.health, ok, call.sent);
+    } else {
+      route.health.bad_share += kMemory * (1 - route.health.bad_share);  // others are tried first
     }
     if (ok) {
       const double latency = Seconds(outcome.latency);
