--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -38,11 +38,12 @@
 constexpr Micros kLeastOutage = seconds(4);  // a shorter gap in service leaves nothing cold
 constexpr int kSingleHeadStart = 2;          // after one failure alone: part of the cold time taken as over
 constexpr double kLimitInUse = 0.8;         // share left of a told limit under which it is taken to be in use
-constexpr int kExplainedRun = 3;            // so many failures in a row are explained without an outage
+constexpr int kExplainedRun = 1;            // so many failures in a row are explained without an outage
 constexpr double kExtraItemWeight = 0.2;    // load of each further message in one call
 constexpr double kOutageShare = 0.5;        // failing share of recent calls that is no blip
 constexpr double kMemory = 0.1;             // weight of the newest call in shares and latencies
 constexpr Micros kAloneClump = seconds(8);  // of a destination's calls may wait at as many senders, one each
+constexpr double kSparseBudget = 0.1;       // calls in a fall span: less would outlast what waits
 constexpr Micros kLeastTrialGap = milliseconds(250);
 constexpr Micros kTakenSpan = seconds(5);  // over which a sender's own traffic is averaged
 constexpr double kOverShare = 1.25;        // of its share: a tenant is past it
@@ -391,7 +392,8 @@
     if (health.phase == Phase::kTrial) most = std::max(most, kTrialsPerFall / set_.senders);
     if (health.phase == Phase::kTrial && health.bad_run == 1) return true;  // the one that tells a blip
     const double since = Seconds(now_ - health.sent.back().first);
-    if (health.phase == Phase::kTrial && alone && since >= health.alone_gap) return true;
+    const bool sparse = health.phase == Phase::kTrial && alone && most < kSparseBudget;
+    if (sparse && since >= health.alone_gap) return true;
     if (most < 1) return since * most >= fall;
     double used = 1;
     for (const auto& [at, weight] : health.sent) used += now_ - at < set_.fall ? weight : 0;
