Least rate a call in 20 s

Against jams where refused calls count: what all senders may send at least must stay near the limit.

--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -20,10 +20,10 @@
 using std::chrono::seconds;
 
 // The token bucket (docs/design.md).
-constexpr double kDecreaseFactor = 0.7;     // share of the rate kept at a refusal: the source's default
-constexpr double kMinShare = 0.75;          // least rate / believed limit, before division by senders
-constexpr Micros kLongestGap = seconds(5);  // between tokens: a held message gets a few tries in its life
-constexpr double kStepShare = 0.2;          // step / believed limit, before division by senders
+constexpr double kDecreaseFactor = 0.7;      // share of the rate kept at a refusal: the source's default
+constexpr double kMinShare = 0.75;           // least rate / believed limit, before division by senders
+constexpr Micros kLongestGap = seconds(20);  // between tokens: about a message's life
+constexpr double kStepShare = 0.2;           // step / believed limit, before division by senders
 constexpr Micros kIncreaseInterval = seconds(1);
 constexpr Micros kBurst = seconds(1);         // a full bucket holds this much of its rate
 constexpr Micros kReopenAfter = seconds(20);  // unrefused so long: the limit is no longer there
