--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -1,12 +1,12 @@
 // The decision module: every choice the delivery node makes. Its interface is src/brain.h.
 //
-// Order: constants; state; events; worth; the guard of the six rules (MayRefuse to MaySend); return budget;
-// bucket; due answers; sending; outcomes. A "lane" is what one bucket paces: a destination or an apart route.
+// Order: constants; state; events; worth; the guard of the six rules (MayRefuse to InBudget); bucket; due
+// answers; sending; connections; outcomes. A "lane" is what one bucket paces: a destination or an apart
+// route.
 #include "brain.h"
 
 #include <algorithm>
 #include <cmath>
-#include <deque>
 #include <limits>
 #include <map>
 #include <random>
@@ -20,10 +20,9 @@
 using std::chrono::seconds;
 
 // The token bucket (docs/design.md).
-constexpr double kDecreaseFactor = 0.7;      // share of the rate kept at a refusal: the source's default
-constexpr double kMinShare = 0.75;           // least rate / believed limit, before division by senders
-constexpr Micros kLongestGap = seconds(20);  // between tokens: about a message's life
-constexpr double kStepShare = 0.2;           // step / believed limit, before division by senders
+constexpr double kDecreaseFactor = 0.7;  // share of the rate kept at a refusal: the source's default
+constexpr double kMinShare = 0.75;       // least rate / believed limit, before division by senders
+constexpr double kStepShare = 0.2;       // step / believed limit, before division by senders
 constexpr Micros kIncreaseInterval = seconds(1);
 constexpr Micros kBurst = seconds(1);         // a full bucket holds this much of its rate
 constexpr Micros kReopenAfter = seconds(20);  // unrefused so long: the limit is no longer there
@@ -38,32 +37,28 @@
 constexpr Micros kLeastOutage = seconds(4);  // a shorter gap in service leaves nothing cold
 constexpr int kSingleHeadStart = 2;          // after one failure alone: part of the cold time taken as over
 constexpr double kLimitInUse = 0.8;         // share left of a told limit under which it is taken to be in use
-constexpr int kExplainedRun = 1;            // so many failures in a row are explained without an outage
 constexpr double kExtraItemWeight = 0.2;    // load of each further message in one call
 constexpr double kOutageShare = 0.5;        // failing share of recent calls that is no blip
 constexpr double kMemory = 0.1;             // weight of the newest call in shares and latencies
 constexpr Micros kAloneClump = seconds(8);  // of a destination's calls may wait at as many senders, one each
 constexpr double kSparseBudget = 0.1;       // calls in a fall span: less would outlast what waits
-constexpr Micros kLeastTrialGap = milliseconds(250);
-constexpr Micros kTakenSpan = seconds(5);  // over which a sender's own traffic is averaged
-constexpr double kOverShare = 1.25;        // of its share: a tenant is past it
+constexpr Micros kMoment = milliseconds(250);  // between trials in doubt; between calls for the list
+constexpr Micros kTakenSpan = seconds(5);      // over which a sender's own traffic is averaged
+constexpr double kOverShare = 1.25;            // of its share: a tenant is past it
 
 // Time-outs, slots and waking.
-constexpr double kTimeoutDeviations = 8;  // time-out = mean + so many deviations: rarely cuts a live call
-constexpr int kMostDoublings = 4;         // of a message's time-out
-constexpr double kLostShare = 0.15;       // a lane that loses more of its calls is lossy, not slow
-constexpr double kLossyPatience = 0.5;    // part of the usual time-out given to a lossy lane
-constexpr double kLatencyMemory = 0.15;   // weight of the newest latency
-constexpr double kKeyLifeUsed = 0.95;     // part of a key's life in which a repeat may still be sent
-constexpr int kRiskedCredit = 3;          // attempts that do not lessen the claim of what risks no more
-constexpr double kOpenReserve = 0.05;     // part of the holding room kept free for what comes
-constexpr Micros kOldConnection = milliseconds(300);  // idle for less: surely alive
+constexpr double kTimeoutDeviations = 8;   // time-out = mean + so many deviations: rarely cuts a live call
+constexpr int kMostDoublings = 4;          // of a message's time-out
+constexpr double kLostShare = 0.15;        // a lane that loses more of its calls is lossy, not slow
+constexpr double kLossyPatience = 0.5;     // part of the usual time-out given to a lossy lane
+constexpr double kLatencyMemory = 0.15;    // weight of the newest latency
+constexpr double kKeyLifeUsed = 0.95;      // part of a key's life in which a repeat may still be sent
+constexpr int kRiskedCredit = 3;           // attempts that do not lessen the claim of what risks no more
+constexpr double kOpenReserve = 0.05;      // part of the holding room kept free for what comes
 constexpr int kStaleSigns = 3;             // calls lost on old connections, less those answered, that tell
 constexpr Micros kFreshFor = seconds(10);  // then no old connection is used for so long
-constexpr double kCrowdedShare = 0.05;     // failed connects at lanes that were well: too few places
-constexpr double kCrowdedMemory = 0.05;    // weight of the newest connect in that share
-constexpr Micros kLeastAskGap = milliseconds(500);  // between calls for the list
-constexpr Micros kRecheck = milliseconds(20);       // while messages wait, look again this often
+constexpr double kCrowdedShare = 0.05;     // failed connects that tell; weight of the newest
+constexpr Micros kRecheck = milliseconds(20);  // while messages wait, look again this often
 
 double Seconds(Micros t) { return std::chrono::duration<double>(t).count(); }
 
@@ -73,11 +68,9 @@
 
 // What is believed of a lane's or an endpoint's life, and the calls that count against its return budget.
 struct Health {
-  Phase phase = Phase::kWarm, before = Phase::kWarm;  // before: the phase that a trial interrupted
-  Micros last_ok{Micros::min()};                      // send time of the latest served call
-  Micros trouble_from{Micros::min()};                 // last_ok when the trouble began
-  Micros last_bad_sent{Micros::min()};  // send time of the latest call that failed or was refused
-  Micros ramp_from{0};
+  Phase phase = Phase::kWarm, before = Phase::kWarm;       // before: the phase that a trial interrupted
+  Micros last_ok{Micros::min()}, last_bad{Micros::min()};  // send times of the latest served and other call
+  Micros trouble_from{Micros::min()}, ramp_from{0};        // last_ok when the trouble began; first served
   double alone_gap = 0;  // seconds until a sender's only message may be the next trial
   double bad_share = 0;
   int bad_run = 0;                              // calls in a row that failed or were refused
@@ -90,19 +83,17 @@
   double count = 0;
   Micros at{0};
   double Now(Micros now) const {
-    return count * std::exp(-Seconds(now - at) / Seconds(span)) / Seconds(span);
+    return count / Seconds(span) * std::exp(-Seconds(now - at) / Seconds(span));
   }
   double Add(Micros now) {
     count = Now(now) * Seconds(span) + 1;
-    at = now;
-    return Now(now);
+    return at = now, Now(now);
   }
 };
 
 struct Bucket {
-  bool bound = false;
-  bool waited = false;          // a call waited for tokens since the last step
-  double rate = 0, tokens = 0;  // calls a second; calls
+  bool bound = false, waited = false;  // waited: a call, for tokens, since the last step
+  double rate = 0, tokens = 0;         // calls a second; calls
   Micros filled{0}, refused{0}, stepped{0};
 };
 
@@ -116,8 +107,8 @@
   double peak = 0;                 // best served rate seen
   double mean = 0, deviation = 0;  // latency in seconds; 0: none seen
   double lost = 0;                 // share of recent calls without an answer
-  int out = 0;                     // calls out
-  int explained = 0;               // refusals and failed connects in a row that need no outage
+  int out = 0;                     // calls
+  bool explained = false;          // the latest failure needs no outage
 };
 
 struct Destination;
@@ -142,9 +133,7 @@
 struct Call {
   Destination* home = nullptr;
   EndpointId endpoint;
-  Micros sent{0};
-  int zone = 0;
-  Micros idle_for{0};             // of the connection that it took; zero: a new one
+  Micros sent{0}, idle_for{0};    // how long its connection had been idle; zero: a new one
   int waiting = 0, messages = 0;  // without an outcome; in all
   bool judged = false;
 };
@@ -153,18 +142,16 @@
   Message message;
   const ClassSettings* c = nullptr;
   Destination* home = nullptr;
-  bool over_share = false;
+  bool over_share = false, out = false;
   bool ended = false;  // answered; kept only while an attempt is out
-  bool out = false;
   bool may_have_run = false;
   std::uint64_t call = 0;
-  int attempts = 0, timeouts = 0;
-  Micros first_run{0};  // send time of the first attempt that may have run
-  int run_zone = 0;
+  int attempts = 0, timeouts = 0, run_zone = 0;
+  Micros first_run{0};  // send time, as run_zone is the zone, of the first attempt that may have run
 };
 
 struct KeyTurn {
-  std::deque<MessageId> order;  // as taken
+  std::vector<MessageId> order;  // as taken
   Micros rest_until{Micros::min()};
 };
 
@@ -201,7 +188,7 @@
   // would count as told (rule 3).
   void OnListFailed() override {
     if (set_.discovery != Discovery::kOnRequest) return;
-    watch_due_ = std::min(watch_due_, now_ + std::max<Micros>(set_.must_ask_in / 4, kLeastAskGap));
+    watch_due_ = std::min(watch_due_, now_ + std::max<Micros>(set_.must_ask_in / 4, kMoment));
   }
 
   void OnMessage(const Message& message) override {
@@ -246,13 +233,13 @@
   }
 
   Footprint footprint() const override {
-    std::size_t endpoints = 0, lanes = 0;
+    Footprint sizes{held_.size(), keys_.size(), 0, 0, calls_.size()};
     for (const auto& [id, destination] : destinations_) {
-      endpoints += destination.routes.size();
-      lanes += destination.shared.used > Micros::min();
-      for (const Route& route : destination.routes) lanes += route.own.used > Micros::min();
+      sizes.endpoints += destination.routes.size();
+      sizes.lanes += destination.shared.used > Micros::min();
+      for (const Route& route : destination.routes) sizes.lanes += route.own.used > Micros::min();
     }
-    return {held_.size(), keys_.size(), lanes, endpoints, calls_.size()};
+    return sizes;
   }
 
  private:
@@ -264,9 +251,8 @@
 
   bool InTurn(const Held& held) const { return held.c->sequential && !held.message.key.empty(); }
 
-  // True if the tenant is past its share. A sender sees its own traffic only; senders differ much in what
-  // they carry, so its part of a quota is an even one or as much as its part of all quotas, whichever is
-  // more.
+  // True if the tenant is past its share here: an even part of its quota, or this sender's part of all
+  // quotas.
   bool TakeShare(int tenant) {
     const auto index = static_cast<std::size_t>(tenant);
     if (index >= set_.tenants.size() || set_.tenants[index].quota_per_second <= 0) return false;
@@ -297,9 +283,9 @@
     return full * (set_.decay == Decay::kByHalf ? by_half : even);
   }
 
-  // What waiting costs: the claim by which held messages share slots and tokens. Each attempt made halves it,
-  // so that one message does not use up all trials of a dead destination; the first few are free for what
-  // a trial puts at no further risk, so that a hung destination catches few others.
+  // What waiting costs: the claim by which held messages share slots and tokens. Each attempt halves it, so
+  // that one message does not use up all trials; the first few are free for what a trial puts at no further
+  // risk.
   double Claim(const Held& held) const {
     const double loss = Worth(held, Micros(0)) - Worth(held, held.c->aim);
     const bool risked = held.may_have_run || held.c->effect == Effect::kSafe;
@@ -317,11 +303,7 @@
   // Rule 1: the one place where a final answer is given.
   void Answer(Held& held, Micros not_before) {
     if (held.ended) return;
-    if (MayRefuse(held)) {
-      host_.Refuse(held.message.id, std::min(not_before, set_.max_retry_after));
-    } else {
-      host_.Fail(held.message.id);
-    }
+    MayRefuse(held) ? host_.Refuse(held.message.id, not_before) : host_.Fail(held.message.id);
     End(held);
   }
 
@@ -336,10 +318,8 @@
   // Rule 5: the earliest message of its key that is unfinished, and no rest on the key.
   bool HasTurn(const Held& held) const {
     if (!InTurn(held)) return true;
-    auto it = keys_.find(held.message.key);
-    if (it == keys_.end()) return true;
-    if (it->second.order.empty() || it->second.order.front() != held.message.id) return false;
-    return held.attempts > 0 || now_ >= it->second.rest_until;
+    const KeyTurn& turn = keys_.at(held.message.key);  // kept while a message of the key is held
+    return turn.order.front() == held.message.id && (held.attempts > 0 || now_ >= turn.rest_until);
   }
 
   // Rules 3, 4 and 6 for a call to this endpoint.
@@ -361,27 +341,23 @@
     return route.home == held.home && MayCall(route, lane, joins);
   }
 
-  // ---- Return budget (rule 4) ---------------------------------------------------------------------------
-
-  // Calls a second that this sender may take for its part of a lane's capacity: what it served before, or an
-  // even part of the told limit. The sum over senders stays under the capacity.
+  // This sender's part of a lane's capacity, calls a second: what it served before, or an even part.
   double ShareOf(const Lane& lane) const {
     return std::max({lane.peak, lane.limit / set_.senders, kLeastRate / set_.senders});
   }
 
-  // In trouble for so short a time that no outage can have come and gone: nothing is cold yet, and a refusal
-  // may just be a limit.
+  // In trouble for so short a time that no outage can have come and gone: nothing is cold yet.
   bool InDoubt(const Health& health) const {
     return health.phase == Phase::kTrial && health.trouble_from > Micros::min() &&
            now_ - health.trouble_from < kLeastOutage && health.bad_share < kOutageShare;
   }
 
-  // After an outage: at most so much in any fall span. Never less than a trickle, never more than the rule's
-  // multiple of what the destination can do at this point of its warming.
+  // After an outage, at most so much in any fall span: between a trickle and the rule's multiple of what the
+  // destination can do at this point of its warming.
   bool InBudget(const Health& health, double share, bool alone) const {
     if (PhaseOf(health) == Phase::kWarm || health.sent.empty()) return true;
     if (InDoubt(health) && health.before == Phase::kWarm) {
-      return now_ - health.sent.back().first >= kLeastTrialGap;
+      return now_ - health.sent.back().first >= kMoment;
     }
     double warm = set_.cold_from;
     if ((health.phase == Phase::kRamp || InDoubt(health)) && set_.cold > Micros(0)) {
@@ -389,11 +365,12 @@
     }
     const double fall = Seconds(set_.fall);
     double most = kBudgetShare * set_.overload_factor * warm * share * fall;
-    if (health.phase == Phase::kTrial) most = std::max(most, kTrialsPerFall / set_.senders);
-    if (health.phase == Phase::kTrial && health.bad_run == 1) return true;  // the one that tells a blip
     const double since = Seconds(now_ - health.sent.back().first);
-    const bool sparse = health.phase == Phase::kTrial && alone && most < kSparseBudget;
-    if (sparse && since >= health.alone_gap) return true;
+    if (health.phase == Phase::kTrial) {
+      most = std::max(most, kTrialsPerFall / set_.senders);
+      if (health.bad_run == 1) return true;  // the one that tells a blip
+      if (alone && most < kSparseBudget && since >= health.alone_gap) return true;
+    }
     if (most < 1) return since * most >= fall;
     double used = 1;
     for (const auto& [at, weight] : health.sent) used += now_ - at < set_.fall ? weight : 0;
@@ -409,8 +386,8 @@
     lane.used = now_;
   }
 
-  // Any failure or refusal may be an outage. A served call then tells: if the time without service was under
-  // kLeastOutage and few calls fail, it was a blip or a limit; else the destination is cold and returns.
+  // Any failure or refusal may be an outage. A served call then tells: in doubt it was a blip or a limit;
+  // else the destination is cold and returns.
   void Judge(Health& health, bool ok, Micros sent) {
     health.bad_share += kMemory * ((ok ? 0 : 1) - health.bad_share);
     if (!ok) {
@@ -422,11 +399,11 @@
         health.trouble_from = health.last_ok;
         health.phase = Phase::kTrial;
       }
-      health.last_bad_sent = std::max(health.last_bad_sent, sent);
+      health.last_bad = std::max(health.last_bad, sent);
       return;
     }
     health.last_ok = std::max(health.last_ok, sent);
-    if (sent < health.last_bad_sent) return;
+    if (sent < health.last_bad) return;
     if (health.phase == Phase::kTrial) {
       const bool blip = InDoubt(health);
       health.phase = blip ? health.before : Phase::kRamp;
@@ -464,15 +441,11 @@
         bucket.rate += now_ - at <= kBurst && weight >= 1 ? 1 : 0;
       bucket.filled = bucket.stepped = now_;
     }
-    // The refusal says that this second's are spent; the next comes at the new rate, not in step with the
-    // others that were refused together.
-    bucket.tokens = 0.5 - Draw();
+    bucket.tokens = 0.5 - Draw();  // this second's are spent; not in step with others refused together
     bucket.refused = now_;
-    // Of many senders few are busy at a destination, and an even part would starve those: the least rate is
-    // also that of the own part served of late, and of a call now and then.
-    const double part = std::max(Limit(lane) / set_.senders, lane.served.Now(now_));
-    const double least = std::max(kMinShare * part, 1 / Seconds(kLongestGap));
-    bucket.rate = std::clamp(bucket.rate * kDecreaseFactor, least, std::max(least, Limit(lane)));
+    const double part =
+        std::max(Limit(lane) / set_.senders, lane.served.Now(now_));  // even, or as served of late
+    bucket.rate = std::clamp(bucket.rate * kDecreaseFactor, kMinShare * part, std::max(part, Limit(lane)));
   }
 
   void Raise(Lane& lane) {
@@ -501,10 +474,7 @@
   void Release(const Held& held) {
     if (!held.ended || held.out) return;
     const MessageId id = held.message.id;
-    if (InTurn(held)) {
-      auto it = keys_.find(held.message.key);
-      if (it != keys_.end()) std::erase(it->second.order, id);  // ForgetIdle drops it once rested
-    }
+    if (InTurn(held)) std::erase(keys_[held.message.key].order, id);  // ForgetIdle drops it once rested
     done_.push_back(id);
   }
 
@@ -556,7 +526,7 @@
            });
   }
 
-  // Room under max_open: what is turned away at the door was chosen by nobody. Hand back what promises least.
+  // Room under max_open: what the door turns away was chosen by nobody. Hand back what promises least.
   void MakeRoom() {
     const int reserve = std::max(1, static_cast<int>(kOpenReserve * set_.max_open));
     while (set_.max_open > 0 && open_ > set_.max_open - reserve) {
@@ -574,21 +544,11 @@
     }
   }
 
-  // ---- Sending ------------------------------------------------------------------------------------------
-
-  // Calls that may be out on a lane at once, so that one slow destination does not take every slot.
-  int LaneRoom(const Lane& lane) const {
-    if (lane.health.phase == Phase::kTrial) return InDoubt(lane.health) ? 2 : 1;
-    if (set_.call_slots <= 0) return std::numeric_limits<int>::max();
-    return std::max(2, (set_.call_slots + 1) / 2);
-  }
-
   Micros Timeout(const Held& held, const Lane& lane) const {
     const bool lossy = lane.lost >= kLostShare && PhaseOf(lane.health) == Phase::kWarm;
-    const double patience = lossy ? kLossyPatience : 1;
     const double seen =
         lane.mean > 0 ? lane.mean + kTimeoutDeviations * lane.deviation : Seconds(held.c->aim);
-    const Micros base = ToMicros(patience * std::max(Seconds(held.c->aim) / 2, seen));
+    const Micros base = ToMicros((lossy ? kLossyPatience : 1) * std::max(Seconds(held.c->aim) / 2, seen));
     // A message that timed out may just be slow: it gets more time, within limits while its lane is in trial.
     const int most = lane.health.phase == Phase::kTrial ? 1 : kMostDoublings;
     return std::min<Micros>(base * (1 << std::min(held.timeouts, most)), held.message.give_up_at - now_);
@@ -632,7 +592,9 @@
   bool HasRoom(const Held& held, const Route& route, Lane& lane) {
     if (set_.call_slots > 0 && static_cast<int>(calls_.size()) >= set_.call_slots) return false;
     if (!MaySend(held, route, lane)) return false;
-    if (lane.out >= LaneRoom(lane)) return false;
+    const bool trial = lane.health.phase == Phase::kTrial;
+    const int half = set_.call_slots > 0 ? std::max(2, (set_.call_slots + 1) / 2) : lane.out + 1;
+    if (lane.out >= (!trial ? half : InDoubt(lane.health) ? 2 : 1)) return false;  // no lane takes all slots
     if (route.health.phase == Phase::kTrial && route.out > 0) return false;
     if (Tokens(lane) >= 1) return true;
     lane.bucket.waited = true;
@@ -646,11 +608,12 @@
     if (!MaySend(held, route, lane, joins)) return;  // the guard
     if (!joins) {
       call = &calls_[route.last_call = ++last_call_];
-      *call = {route.home, route.endpoint.id, now_, route.endpoint.zone};
+      *call = {route.home, route.endpoint.id, now_};
       if (lane.bucket.bound) lane.bucket.tokens -= 1;
       ++lane.out;
       ++route.out;
-      if (StaleIdle(route)) Close(route);
+      if (now_ < fresh_until_ && !route.idle.empty() && now_ - route.idle.back() >= stale_after_ / 2)
+        Close(route);
       if (!route.idle.empty()) {
         call->idle_for = std::max(Micros(1), now_ - route.idle.back());
         route.idle.pop_back();
@@ -670,32 +633,24 @@
     host_.CloseIdle(route.endpoint.id);
   }
 
-  // Against idle connections dropped unseen on the way (a reaper, a restarted proxy): calls on them are lost,
-  // on new ones not. Counted against old connections that still answer, so that a hang of less than half the
-  // traffic does not count. Costs new connections where a larger part hangs.
-  bool StaleIdle(const Route& route) const {
-    return now_ < fresh_until_ && !route.idle.empty() && now_ - route.idle.back() >= stale_after_ / 2;
-  }
-
-  // Places at an endpoint are few at some kinds and idle connections of all senders take them: where connects
-  // fail at lanes that were well before, connections of that kind are given back after use.
-  bool Crowded(const Route& route) const {
-    auto it = crowded_.find(route.endpoint.kind);
-    return it != crowded_.end() && it->second > kCrowdedShare;
-  }
+  // Against full connection tables: where connects fail at lanes that were well, connections of that kind are
+  // given back after use, since idle ones of all senders take the places.
+  bool Crowded(const Route& route) { return crowded_[route.endpoint.kind] > kCrowdedShare; }
 
+  // Against idle connections dropped unseen on the way (a reaper, a restarted proxy): calls on them are lost,
+  // on new ones not. Counted against old ones that still answer, so that a hang of less than half the traffic
+  // does not count.
   void JudgeConnection(const Call& call, const Route& route, Result result, bool was_well) {
     const bool lost = result == Result::kTimeout || result == Result::kReset;
     if (call.idle_for <= Micros(0)) {
-      const double failed = was_well && result == Result::kNoConnection ? 1 : 0;
       double& share = crowded_[route.endpoint.kind];
-      share += kCrowdedMemory * (failed - share);
-    } else if (lost && call.idle_for >= kOldConnection) {
+      share += kCrowdedShare * ((was_well && result == Result::kNoConnection) - share);
+    } else if (lost && call.idle_for >= kMoment) {
       stale_after_ = std::min(stale_after_, call.idle_for);
       stale_signs_ = std::min(stale_signs_ + 1, kStaleSigns);
       if (stale_signs_ == kStaleSigns) fresh_until_ = now_ + kFreshFor;
-    } else if (!lost && call.idle_for >= stale_after_) {
-      if (--stale_signs_ <= 0) stale_signs_ = 0, stale_after_ = Micros::max();
+    } else if (!lost && call.idle_for >= stale_after_ && --stale_signs_ <= 0) {
+      stale_signs_ = 0, stale_after_ = Micros::max();
     }
   }
 
@@ -724,10 +679,8 @@
   Settings set_;
   const ClassSettings unknown_;  // unsafe, worth nothing
   Host& host_;
-  Micros now_{0};
-  Micros timer_{Micros::max()};
-  Micros watch_due_{Micros::max()};
-  int open_ = 0;
+  Micros now_{0}, timer_{Micros::max()}, watch_due_{Micros::max()}, sweep_due_{Micros::min()};
+  int open_ = 0, stale_signs_ = 0;
   std::uint64_t last_call_ = 0, turn_from_call_ = 0;  // calls after that one were opened in this turn
   std::map<MessageId, Held> held_;
   std::vector<MessageId> done_;
@@ -735,13 +688,11 @@
   std::map<int, Rate> tenants_;
   Rate taken_{kTakenSpan};
   std::mt19937_64 random_;
-  Micros sweep_due_{Micros::min()};
   std::map<std::uint64_t, Destination> destinations_;
   std::map<std::uint64_t, Call> calls_;
   std::vector<std::pair<Destination*, EndpointId>> freed_;  // endpoints where a call ended in this turn
   std::map<int, double> crowded_;                           // by kind: share of new connections that failed
   Micros stale_after_{Micros::max()}, fresh_until_{Micros::min()};
-  int stale_signs_ = 0;
 };
 
 void Impl::OnOutcome(const Outcome& outcome) {
@@ -760,7 +711,7 @@
   if ((may_run_on || result == Result::kError) && !held.may_have_run) {
     held.may_have_run = true;
     held.first_run = call.sent;
-    held.run_zone = call.zone;
+    held.run_zone = route.endpoint.zone;
   }
   if (result == Result::kTimeout) ++held.timeouts;
   if (InTurn(held) && may_run_on) {
@@ -774,14 +725,12 @@
     if (result == Result::kFull) Cut(lane);
     lane.lost += kMemory * ((result == Result::kTimeout ? 1 : 0) - lane.lost);
     JudgeConnection(call, route, result, lane.health.bad_run == 0);
-    // Against taking a limit for an outage, above all where a sender calls now and then: a refusal that comes
-    // with a told limit in use says that the destination serves, a failed connect at a crowded kind that it
-    // has no place. A run of them is not believed.
+    // Against taking a limit for an outage where a sender calls now and then: a refusal with a told limit in
+    // use, a failed connect at a crowded kind. A run of them is not believed.
     const bool told = outcome.load.limit > 0 && outcome.load.left >= 0;
     const bool limit = result == Result::kFull && told && outcome.load.left < kLimitInUse;
     const bool explained = limit || (result == Result::kNoConnection && Crowded(route));
-    lane.explained = explained ? lane.explained + 1 : 0;
-    if (!explained || lane.explained > kExplainedRun || lane.health.phase == Phase::kTrial) {
+    if (!explained || std::exchange(lane.explained, explained) || lane.health.phase == Phase::kTrial) {
       Judge(lane.health, ok, call.sent);
       Judge(route.health, ok, call.sent);
     } else {
