--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -100,15 +100,14 @@
 struct Lane {
   Bucket bucket;
   Health health;
-  Micros pause_until{Micros::min()};  // told wait
-  Micros used{Micros::min()};
-  double limit = 0;                // told calls a second, all senders; 0: none told
-  Rate served{kServedSpan};        // calls
-  double peak = 0;                 // best served rate seen
-  double mean = 0, deviation = 0;  // latency in seconds; 0: none seen
-  double lost = 0;                 // share of recent calls without an answer
-  int out = 0;                     // calls
-  bool explained = false;          // the latest failure needs no outage
+  Micros pause_until{Micros::min()}, used{Micros::min()};  // told wait; latest call
+  double limit = 0;                                        // told calls a second, all senders; 0: none told
+  Rate served{kServedSpan};                                // calls
+  double peak = 0;                                         // best served rate seen
+  double mean = 0, deviation = 0;                          // latency in seconds; 0: none seen
+  double lost = 0;                                         // share of recent calls without an answer
+  int out = 0;                                             // calls
+  bool explained = false;                                  // the latest failure needs no outage
 };
 
 struct Destination;
@@ -142,9 +141,8 @@
   Message message;
   const ClassSettings* c = nullptr;
   Destination* home = nullptr;
-  bool over_share = false, out = false;
+  bool over_share = false, out = false, may_have_run = false;
   bool ended = false;  // answered; kept only while an attempt is out
-  bool may_have_run = false;
   std::uint64_t call = 0;
   int attempts = 0, timeouts = 0, run_zone = 0;
   Micros first_run{0};  // send time, as run_zone is the zone, of the first attempt that may have run
@@ -535,9 +533,7 @@
       for (auto& [id, held] : held_) {
         if (held.ended || !MayRefuse(held)) continue;
         const double worth = Worth(held, Micros(0));
-        if (least != nullptr && worth > least_worth) continue;
-        least = &held;
-        least_worth = worth;
+        if (least == nullptr || worth <= least_worth) least = &held, least_worth = worth;
       }
       if (least == nullptr) return;
       Answer(*least, set_.max_retry_after);
@@ -582,9 +578,7 @@
       if (OpenCall(route) != nullptr && MaySend(held, route, lane, true)) return &route;
       if (!HasRoom(held, route, lane)) continue;
       const auto rank = Rank(route, lane);
-      if (best != nullptr && rank >= best_rank) continue;
-      best = &route;
-      best_rank = rank;
+      if (best == nullptr || rank < best_rank) best = &route, best_rank = rank;
     }
     return best;
   }
@@ -714,10 +708,7 @@
     held.run_zone = route.endpoint.zone;
   }
   if (result == Result::kTimeout) ++held.timeouts;
-  if (InTurn(held) && may_run_on) {
-    KeyTurn& turn = keys_[held.message.key];
-    turn.rest_until = std::max(turn.rest_until, now_ + set_.turn_gap);
-  }
+  if (InTurn(held) && may_run_on) keys_[held.message.key].rest_until = now_ + set_.turn_gap;
   if (outcome.load.limit > 0) lane.limit = outcome.load.limit;
   if (result == Result::kFull) lane.pause_until = std::max(lane.pause_until, now_ + outcome.wait);
   if (!call.judged && result != Result::kNotSent && result != Result::kCancelled) {  // one call, one fate
