--- a/tests/test_node.h
+++ b/tests/test_node.h
@@ -30,6 +30,7 @@
   Micros after{milliseconds(100)};
   Micros wait{0};
   double limit = -1;
+  double left = -1;
 };
 
 // Settings of no real deployment: two senders, one keyed class, one kind with shared and one with apart
@@ -100,6 +101,7 @@
     outcome.last = last;
     outcome.wait = reply.wait;
     outcome.load.limit = reply.limit;
+    outcome.load.left = reply.left;
     brain_->OnOutcome(outcome);
   }
   void Settle(MessageId id, Result result) { Settle(id, Reply{result}, result == Result::kOk); }
