--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -182,8 +182,8 @@
     }
   }
 
-  // The watch may or may not stand after a failure: ask anew, well inside the time after which an old list
-  // would count as told (rule 3).
+  // The watch may or may not stand after a failure: ask anew, well before an old list counts as told (rule
+  // 3).
   void OnListFailed() override {
     if (set_.discovery != Discovery::kOnRequest) return;
     watch_due_ = std::min(watch_due_, now_ + std::max<Micros>(set_.must_ask_in / 4, kMoment));
@@ -485,6 +485,7 @@
       std::erase_if(destination.routes, [this](Route& route) {
         const bool gone = route.endpoint.state == EndpointState::kGone;
         Forget(route.own, !gone);
+        if (!route.idle.empty() && Crowded(route)) Close(route);
         return gone && route.out == 0 && route.own.used == Micros::min();
       });
       Forget(destination.shared, !destination.routes.empty());
