--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -57,6 +57,7 @@
 constexpr double kOpenReserve = 0.05;      // part of the holding room kept free for what comes
 constexpr int kStaleSigns = 3;             // calls lost on old connections, less those answered, that tell
 constexpr Micros kFreshFor = seconds(10);  // then no old connection is used for so long
+constexpr int kFullTableRun = 3;           // failed connects in a row that a full table explains
 constexpr double kCrowdedShare = 0.05;     // failed connects that tell; weight of the newest
 constexpr Micros kRecheck = milliseconds(20);  // while messages wait, look again this often
 
@@ -71,8 +72,8 @@
   Phase phase = Phase::kWarm, before = Phase::kWarm;       // before: the phase that a trial interrupted
   Micros last_ok{Micros::min()}, last_bad{Micros::min()};  // send times of the latest served and other call
   Micros trouble_from{Micros::min()}, ramp_from{0};        // last_ok when the trouble began; first served
-  double alone_gap = 0;  // seconds until a sender's only message may be the next trial
-  double bad_share = 0;
+  double alone_gap = 0;                         // seconds until a sender's only message may be the next trial
+  double bad_share = 0;                         // of recent calls
   int bad_run = 0;                              // calls in a row that failed or were refused
   std::vector<std::pair<Micros, double>> sent;  // (time, weight) of calls
 };
@@ -107,7 +108,7 @@
   double mean = 0, deviation = 0;                          // latency in seconds; 0: none seen
   double lost = 0;                                         // share of recent calls without an answer
   int out = 0;                                             // calls
-  bool explained = false;                                  // the latest failure needs no outage
+  int explained = 0;                                       // failures in a row that need no outage
 };
 
 struct Destination;
@@ -182,8 +183,7 @@
     }
   }
 
-  // The watch may or may not stand after a failure: ask anew, well before an old list counts as told (rule
-  // 3).
+  // The watch may or may not stand: ask anew, well before an old list counts as told (rule 3).
   void OnListFailed() override {
     if (set_.discovery != Discovery::kOnRequest) return;
     watch_due_ = std::min(watch_due_, now_ + std::max<Micros>(set_.must_ask_in / 4, kMoment));
@@ -722,7 +722,8 @@
     const bool told = outcome.load.limit > 0 && outcome.load.left >= 0;
     const bool limit = result == Result::kFull && told && outcome.load.left < kLimitInUse;
     const bool explained = limit || (result == Result::kNoConnection && Crowded(route));
-    if (!explained || std::exchange(lane.explained, explained) || lane.health.phase == Phase::kTrial) {
+    lane.explained = explained ? lane.explained + 1 : 0;
+    if (!explained || lane.explained > (limit ? 1 : kFullTableRun) || lane.health.phase == Phase::kTrial) {
       Judge(lane.health, ok, call.sent);
       Judge(route.health, ok, call.sent);
     } else {
