--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -83,9 +83,7 @@
   Micros span;
   double count = 0;
   Micros at{0};
-  double Now(Micros now) const {
-    return count / Seconds(span) * std::exp(-Seconds(now - at) / Seconds(span));
-  }
+  double Now(Micros t) const { return count / Seconds(span) * std::exp(-Seconds(t - at) / Seconds(span)); }
   double Add(Micros now) {
     count = Now(now) * Seconds(span) + 1;
     return at = now, Now(now);
@@ -108,7 +106,6 @@
   double mean = 0, deviation = 0;                          // latency in seconds; 0: none seen
   double lost = 0;                                         // share of recent calls without an answer
   int out = 0;                                             // calls
-  int explained = 0;                                       // failures in a row that need no outage
 };
 
 struct Destination;
@@ -120,6 +117,7 @@
   Lane own;       // where routes are apart
   Health health;  // its own: bounds calls where the lane is shared, ranks the endpoint everywhere
   int out = 0;
+  int explained = 0;  // failures in a row that need no outage
   std::uint64_t last_call = 0;
   std::vector<Micros> idle;  // connections believed idle, by the time they became so
 };
@@ -722,8 +720,8 @@
     const bool told = outcome.load.limit > 0 && outcome.load.left >= 0;
     const bool limit = result == Result::kFull && told && outcome.load.left < kLimitInUse;
     const bool explained = limit || (result == Result::kNoConnection && Crowded(route));
-    lane.explained = explained ? lane.explained + 1 : 0;
-    if (!explained || lane.explained > (limit ? 1 : kFullTableRun) || lane.health.phase == Phase::kTrial) {
+    route.explained = explained ? route.explained + 1 : 0;
+    if (!explained || route.explained > (limit ? 1 : kFullTableRun) || lane.health.phase == Phase::kTrial) {
       Judge(lane.health, ok, call.sent);
       Judge(route.health, ok, call.sent);
     } else {
