--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -140,11 +140,11 @@
   Message message;
   const ClassSettings* c = nullptr;
   Destination* home = nullptr;
-  bool over_share = false, out = false, may_have_run = false;
+  Past past;
+  bool over_share = false, out = false;
   bool ended = false;  // answered; kept only while an attempt is out
   std::uint64_t call = 0;
-  int attempts = 0, timeouts = 0, run_zone = 0;
-  Micros first_run{0};  // send time, as run_zone is the zone, of the first attempt that may have run
+  int timeouts = 0;
 };
 
 struct KeyTurn {
@@ -192,12 +192,17 @@
     if (!is_new) return;
     Held& held = it->second;
     held.message = message;
+    held.past = message.past;
     const auto index = static_cast<std::size_t>(message.message_class);
     held.c = index < set_.classes.size() ? &set_.classes[index] : &unknown_;
     held.home = &destinations_[message.destination];
     ++held.home->held;
     held.over_share = TakeShare(message.tenant);
-    if (InTurn(held)) keys_[message.key].order.push_back(message.id);
+    if (InTurn(held)) {
+      KeyTurn& turn = keys_[message.key];
+      turn.order.push_back(message.id);
+      if (held.past.may_have_run) turn.rest_until = now_ + set_.turn_gap;  // cut off by a restart: may run on
+    }
     ++open_;
   }
 
@@ -207,6 +212,8 @@
     if (auto it = held_.find(id); it != held_.end()) End(it->second);
   }
 
+  void OnStop(Micros at) override { stop_at_ = at; }
+
   void OnTurnEnd() override {
     if (watch_due_ <= now_) {
       watch_due_ = Micros::max();
@@ -262,8 +269,8 @@
 
   // When the key of a message that may have run is no longer sure to be remembered.
   Micros RepeatUntil(const Held& held) const {
-    if (!held.may_have_run || held.c->effect != Effect::kKeyed) return Micros::max();
-    return held.first_run + ToMicros(Seconds(held.c->key_ttl) * kKeyLifeUsed);
+    if (!held.past.may_have_run || held.c->effect != Effect::kKeyed) return Micros::max();
+    return held.past.first_run + ToMicros(Seconds(held.c->key_ttl) * kKeyLifeUsed);
   }
 
   // Worth of an answer that comes `ahead` from now.
@@ -284,8 +291,8 @@
   // risk.
   double Claim(const Held& held) const {
     const double loss = Worth(held, Micros(0)) - Worth(held, held.c->aim);
-    const bool risked = held.may_have_run || held.c->effect == Effect::kSafe;
-    return std::ldexp(loss, -std::max(0, held.attempts - (risked ? kRiskedCredit : 0)));
+    const bool risked = held.past.may_have_run || held.c->effect == Effect::kSafe;
+    return std::ldexp(loss, -std::max(0, held.past.attempts - (risked ? kRiskedCredit : 0)));
   }
 
   // ---- The guard: rules 1 and 2 for answers, 1 to 6 for sends -------------------------------------------
@@ -293,7 +300,7 @@
   // Rule 2: a refusal promises that handing in again is harmless.
   bool MayRefuse(const Held& held) const {
     const bool drops_repeats = held.c->effect == Effect::kKeyed && held.c->group == Group::kAll;
-    return !held.out && (!held.may_have_run || held.c->effect == Effect::kSafe || drops_repeats);
+    return !held.out && (!held.past.may_have_run || held.c->effect == Effect::kSafe || drops_repeats);
   }
 
   // Rule 1: the one place where a final answer is given.
@@ -306,8 +313,8 @@
   // Rules 1 and 2: whether another attempt may be made at all.
   bool MayAttempt(const Held& held) const {
     if (held.ended || held.out || now_ >= held.message.give_up_at) return false;
-    if (set_.max_attempts > 0 && held.attempts >= set_.max_attempts) return false;
-    if (!held.may_have_run || held.c->effect == Effect::kSafe) return true;
+    if (set_.max_attempts > 0 && held.past.attempts >= set_.max_attempts) return false;
+    if (!held.past.may_have_run || held.c->effect == Effect::kSafe) return true;
     return held.c->effect == Effect::kKeyed && held.c->group != Group::kCell && now_ <= RepeatUntil(held);
   }
 
@@ -315,7 +322,7 @@
   bool HasTurn(const Held& held) const {
     if (!InTurn(held)) return true;
     const KeyTurn& turn = keys_.at(held.message.key);  // kept while a message of the key is held
-    return turn.order.front() == held.message.id && (held.attempts > 0 || now_ >= turn.rest_until);
+    return turn.order.front() == held.message.id && (held.past.attempts > 0 || now_ >= turn.rest_until);
   }
 
   // Rules 3, 4 and 6 for a call to this endpoint.
@@ -332,8 +339,9 @@
   // Every send passes here.
   bool MaySend(const Held& held, const Route& route, const Lane& lane, bool joins = false) const {
     if (!MayAttempt(held) || !HasTurn(held)) return false;
-    const bool bound = held.may_have_run && held.c->effect == Effect::kKeyed && held.c->group == Group::kZone;
-    if (bound && route.endpoint.zone != held.run_zone) return false;
+    const bool bound =
+        held.past.may_have_run && held.c->effect == Effect::kKeyed && held.c->group == Group::kZone;
+    if (bound && route.endpoint.zone != held.past.run_zone) return false;
     return route.home == held.home && MayCall(route, lane, joins);
   }
 
@@ -582,7 +590,15 @@
     return best;
   }
 
+  // Before a stop: only what should end by then. What the stop cuts off may have run.
+  bool EndsInTime(const Held& held, const Lane& lane) const {
+    const bool unsure = lane.mean <= 0 || held.c->effect == Effect::kUnsafe;
+    const Micros needs = unsure ? Timeout(held, lane) : ToMicros(lane.mean + 2 * lane.deviation);
+    return stop_at_ == Micros::max() || now_ + needs <= stop_at_;
+  }
+
   bool HasRoom(const Held& held, const Route& route, Lane& lane) {
+    if (!EndsInTime(held, lane)) return false;
     if (set_.call_slots > 0 && static_cast<int>(calls_.size()) >= set_.call_slots) return false;
     if (!MaySend(held, route, lane)) return false;
     const bool trial = lane.health.phase == Phase::kTrial;
@@ -617,7 +633,7 @@
     ++call->messages;
     Log(route, lane, joins ? kExtraItemWeight : 1);
     held.out = true;
-    ++held.attempts;
+    ++held.past.attempts;
     host_.Send(held.message.id, route.endpoint.id, Timeout(held, lane));
   }
 
@@ -672,7 +688,8 @@
   Settings set_;
   const ClassSettings unknown_;  // unsafe, worth nothing
   Host& host_;
-  Micros now_{0}, timer_{Micros::max()}, watch_due_{Micros::max()}, sweep_due_{Micros::min()};
+  Micros now_{0}, stop_at_{Micros::max()}, timer_{Micros::max()}, watch_due_{Micros::max()},
+      sweep_due_{Micros::min()};
   int open_ = 0, stale_signs_ = 0;
   std::uint64_t last_call_ = 0, turn_from_call_ = 0;  // calls after that one were opened in this turn
   std::map<MessageId, Held> held_;
@@ -701,10 +718,10 @@
   const bool ok = result == Result::kOk;
   const bool may_run_on =
       result == Result::kTimeout || result == Result::kReset || result == Result::kCancelled;
-  if ((may_run_on || result == Result::kError) && !held.may_have_run) {
-    held.may_have_run = true;
-    held.first_run = call.sent;
-    held.run_zone = route.endpoint.zone;
+  if ((may_run_on || result == Result::kError) && !held.past.may_have_run) {
+    held.past.may_have_run = true;
+    held.past.first_run = call.sent;
+    held.past.run_zone = route.endpoint.zone;
   }
   if (result == Result::kTimeout) ++held.timeouts;
   if (InTurn(held) && may_run_on) keys_[held.message.key].rest_until = now_ + set_.turn_gap;
--- a/src/brain.h
+++ b/src/brain.h
@@ -75,6 +75,14 @@
   EndpointState state = EndpointState::kReady;
 };
 
+// What was tried before a restart for a message that is resumed after it.
+struct Past {
+  int attempts = 0;
+  bool may_have_run = false;
+  Micros first_run{0};  // send time, as run_zone is the zone, of the first attempt that may have run
+  int run_zone = 0;
+};
+
 struct Message {
   MessageId id = 0;
   int message_class = 0;
@@ -82,6 +90,7 @@
   std::string key;  // order key; empty: none
   Micros give_up_at{0};
   std::uint64_t destination = 0;
+  Past past;
 };
 
 enum class Result { kOk, kError, kFull, kTimeout, kNoConnection, kReset, kCancelled, kNotSent };
@@ -130,6 +139,7 @@
   virtual void OnMessage(const Message& message) = 0;
   virtual void OnOutcome(const Outcome& outcome) = 0;
   virtual void OnWithdrawn(MessageId id) = 0;
+  virtual void OnStop(Micros at) = 0;  // the process ends then; what is held is resumed after it
   virtual void OnTurnEnd() = 0;
   virtual Footprint footprint() const = 0;
 };
--- /dev/null
+++ b/src/net/call_pool.cpp
@@ -0,0 +1,276 @@
+#include "net/call_pool.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <charconv>
+#include <cmath>
+#include <optional>
+#include <utility>
+
+#include "net/http_reader.h"
+
+namespace indigosaddle::net {
+namespace {
+
+using state::Ending;
+
+constexpr std::size_t kMostAnswerBody = 64 * 1024;
+// An idle connection is closed this much before the other side may: a request on its way must arrive in time.
+constexpr Micros kIdleMargin = std::chrono::milliseconds(500);
+constexpr Micros kSweepEvery = std::chrono::milliseconds(250);
+constexpr double kMostWaitMillis = 1e9;
+
+std::optional<double> ParseNumber(std::string_view text) {
+  while (!text.empty() && text.front() == ' ') text.remove_prefix(1);
+  while (!text.empty() && text.back() == ' ') text.remove_suffix(1);
+  double value = 0;
+  const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), value);
+  if (error != std::errc() || end != text.data() + text.size() || !std::isfinite(value)) return std::nullopt;
+  return value;
+}
+
+}  // namespace
+
+std::string FormatCall(const CallRequest& request) {
+  std::string text =
+      fmt::format("POST /hook HTTP/1.1\r\nHost: {}\r\nX-Trace-Id: {}\r\n", request.host, request.id);
+  if (!request.idempotency_key.empty())
+    text += fmt::format("Idempotency-Key: {}\r\n", request.idempotency_key);
+  const auto millis = std::chrono::ceil<std::chrono::milliseconds>(request.timeout).count();
+  text += fmt::format("X-Expires-In: {}m\r\nContent-Length: {}\r\n\r\n", millis, request.body.size());
+  return text += request.body;
+}
+
+LoadReport ParseLoad(std::string_view text) {
+  LoadReport report;
+  while (!text.empty()) {
+    const std::size_t comma = text.find(',');
+    std::string_view pair = text.substr(0, comma);
+    text.remove_prefix(comma == std::string_view::npos ? text.size() : comma + 1);
+    while (!pair.empty() && pair.front() == ' ') pair.remove_prefix(1);
+    const std::size_t equals = pair.find('=');
+    if (equals == std::string_view::npos) continue;
+    const auto value = ParseNumber(pair.substr(equals + 1));
+    if (!value) continue;
+    if (pair.substr(0, equals) == "x0") report.left = *value;
+    if (pair.substr(0, equals) == "x1") report.limit = *value;
+  }
+  return report;
+}
+
+class CallPool::Connection : public Stream::Listener {
+ public:
+  Connection(CallPool& pool, std::string dial)
+      : pool_(pool),
+        dial_(std::move(dial)),
+        reader_(kMostAnswerBody),
+        stream_(pool.loop_, *this),
+        timeout_(pool.loop_, [this] { OnTimeout(); }),
+        connect_(pool.loop_, [this] { End(Ending::kNeverUp); }) {}
+
+  const std::string& dial() const { return dial_; }
+  Micros idle_since() const { return idle_since_; }
+  bool ended_unread() const { return stream_.ended_unread(); }
+
+  // The call's end comes later, through Finished, in every case.
+  void Begin(const CallRequest& request, bool connect) {
+    serial_ = request.serial;
+    bytes_ = FormatCall(request);
+    began_ = pool_.loop_.Now();
+    busy_ = true;
+    sent_ = false;
+    reader_.Reset();
+    timeout_.Start(request.timeout);
+    if (!connect) return Send();
+    if (const int error = stream_.Connect(dial_); error != 0) {
+      failure_ = error == UV_ECONNREFUSED                   ? Ending::kRefused
+                 : error == UV_EMFILE || error == UV_ENFILE ? Ending::kNotStarted
+                                                            : Ending::kNeverUp;
+      return timeout_.Start(Micros(0));
+    }
+    if (pool_.limits_.connect_timeout > Micros(0)) connect_.Start(pool_.limits_.connect_timeout);
+  }
+
+  void Rest() {
+    busy_ = false;
+    idle_since_ = pool_.loop_.Now();
+    timeout_.Stop();
+  }
+
+ private:
+  void OnConnected(int error) override {
+    connect_.Stop();
+    if (error != 0) return End(error == UV_ECONNREFUSED ? Ending::kRefused : Ending::kNeverUp);
+    up_ = true;
+    if (stream_.StartReading() != 0) return End(Ending::kBrokenBeforeSent);
+    Send();
+  }
+
+  void Send() {
+    const int error = stream_.Write(std::move(bytes_));
+    if (error != 0) {  // known before any byte left: no part of the call was sent
+      failure_ = Ending::kBrokenBeforeSent;
+      return timeout_.Start(Micros(0));
+    }
+    sent_ = stream_.unwritten() == 0;
+  }
+
+  void OnDrained() override { sent_ = true; }
+
+  void OnBytes(std::string_view bytes) override {
+    if (!busy_) return pool_.IdleEnded(*this);  // an answer to nothing
+    const bool good = reader_.Take(bytes);
+    if (!good && !reader_.done())
+      return End(reader_.status() == 200 ? Ending::kDelivered : Ending::kUnreadable);
+    if (reader_.done()) Answered(good && reader_.keep_alive() && sent_);
+  }
+
+  void OnEnd(int) override {
+    if (!busy_) return pool_.IdleEnded(*this);
+    reader_.TakeEnd();
+    if (reader_.head_done()) return Answered(false);
+    if (reader_.status() == 200) return End(Ending::kDelivered);
+    if (reader_.status() != 0) return End(Ending::kBrokenMidAnswer);
+    End(sent_ ? Ending::kBrokenAfterSent : Ending::kBrokenBeforeSent);
+  }
+
+  void OnTimeout() {
+    if (!busy_) return;
+    if (failure_) return End(*failure_);
+    if (!up_) return End(Ending::kNeverUp);
+    if (!sent_) return End(Ending::kBrokenBeforeSent);
+    if (reader_.head_done()) return Answered(false);
+    End(reader_.status() == 200 ? Ending::kDelivered : Ending::kTimedOut);
+  }
+
+  void Answered(bool reusable) {
+    CallResult result = Result_(state::EndingOf(reader_.status(), reader_.header("x-no-slot") == "1"));
+    if (result.ending == Ending::kToldToWait || result.ending == Ending::kTurnedAway) {
+      const double millis = ParseNumber(reader_.header("x-retry-in-ms")).value_or(0);
+      result.wait = std::chrono::duration_cast<Micros>(
+          std::chrono::duration<double, std::milli>(std::clamp(millis, 0.0, kMostWaitMillis)));
+    }
+    result.load = ParseLoad(reader_.header("endpoint-load-metrics"));
+    pool_.Finished(*this, result, reusable);
+  }
+
+  void End(Ending ending) { pool_.Finished(*this, Result_(ending), false); }
+
+  CallResult Result_(Ending ending) const {
+    return {serial_, ending, pool_.loop_.Now() - began_, Micros(0), {}};
+  }
+
+  CallPool& pool_;
+  const std::string dial_;
+  HttpReader reader_;
+  Stream stream_;
+  Timer timeout_, connect_;
+  std::uint64_t serial_ = 0;
+  std::string bytes_;
+  Micros began_{0}, idle_since_{0};
+  bool busy_ = false, up_ = false, sent_ = false;
+  std::optional<Ending> failure_;  // known when the call began; told by the timer, never from within Start
+};
+
+CallPool::CallPool(Loop& loop, Limits limits, std::function<void(const CallResult&)> ended)
+    : loop_(loop),
+      limits_(limits),
+      ended_(std::move(ended)),
+      sweep_(loop, [this] { CloseStale(); }),
+      bury_(loop, [this] { buried_.clear(); }) {
+  sweep_.Start(kSweepEvery);
+}
+
+CallPool::~CallPool() = default;
+
+void CallPool::Start(const CallRequest& request) {
+  std::unique_ptr<Connection> connection = TakeIdle(request.dial);
+  const bool connect = connection == nullptr;
+  if (connect) {
+    if (connections() >= limits_.most_connections) DropOldestIdle();
+    connection = std::make_unique<Connection>(*this, request.dial);
+    ++opened_;
+  }
+  Connection* raw = connection.get();
+  busy_.emplace(raw, std::move(connection));
+  raw->Begin(request, connect);
+}
+
+void CallPool::Finished(Connection& connection, const CallResult& result, bool reusable) {
+  auto node = busy_.extract(&connection);
+  if (node.empty()) return;
+  if (reusable) {
+    connection.Rest();
+    idle_[connection.dial()].push_back(std::move(node.mapped()));
+    ++idle_count_;
+  } else {
+    Bury(std::move(node.mapped()));
+  }
+  ended_(result);
+}
+
+void CallPool::IdleEnded(Connection& connection) {
+  Idle& idle = idle_[connection.dial()];
+  const auto it =
+      std::find_if(idle.begin(), idle.end(), [&](const auto& c) { return c.get() == &connection; });
+  if (it == idle.end()) return;
+  Bury(std::move(*it));
+  idle.erase(it);
+  --idle_count_;
+}
+
+// Not one that the other side has closed: a call on it would end as a reset, and might seem to have run.
+std::unique_ptr<CallPool::Connection> CallPool::TakeIdle(const std::string& dial) {
+  const auto it = idle_.find(dial);
+  std::unique_ptr<Connection> connection;
+  while (it != idle_.end() && !it->second.empty() && (connection == nullptr || connection->ended_unread())) {
+    connection = std::move(it->second.back());
+    it->second.pop_back();
+    --idle_count_;
+  }
+  if (connection == nullptr || connection->ended_unread()) return nullptr;
+  if (limits_.idle_close > Micros(0) &&
+      loop_.Now() - connection->idle_since() >= limits_.idle_close - kIdleMargin) {
+    return nullptr;  // the rest are older still; the sweep takes them
+  }
+  return connection;
+}
+
+void CallPool::DropOldestIdle() {
+  Idle* oldest = nullptr;
+  for (auto& [dial, idle] : idle_) {
+    if (!idle.empty() && (oldest == nullptr || idle.front()->idle_since() < oldest->front()->idle_since())) {
+      oldest = &idle;
+    }
+  }
+  if (oldest == nullptr) return;
+  oldest->erase(oldest->begin());
+  --idle_count_;
+}
+
+void CallPool::CloseIdle(const std::string& dial) {
+  const auto it = idle_.find(dial);
+  if (it == idle_.end()) return;
+  idle_count_ -= it->second.size();
+  idle_.erase(it);
+}
+
+void CallPool::CloseStale() {
+  const Micros now = loop_.Now();
+  for (auto it = idle_.begin(); it != idle_.end();) {
+    idle_count_ -= std::erase_if(it->second, [&](const auto& connection) {
+      return limits_.idle_close > Micros(0) &&
+             now - connection->idle_since() >= limits_.idle_close - kIdleMargin;
+    });
+    it = it->second.empty() ? idle_.erase(it) : std::next(it);
+  }
+  sweep_.Start(kSweepEvery);
+}
+
+void CallPool::Bury(std::unique_ptr<Connection> connection) {
+  buried_.push_back(std::move(connection));
+  bury_.Start(Micros(0));
+}
+
+}  // namespace indigosaddle::net
--- /dev/null
+++ b/src/net/call_pool.h
@@ -0,0 +1,71 @@
+// HTTP calls to endpoints, and the connections that are kept for the next ones. One call a connection;
+// nothing is ever sent a second time here.
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "brain.h"
+#include "net/loop.h"
+#include "state/ending.h"
+
+namespace indigosaddle::net {
+
+struct CallRequest {
+  std::uint64_t serial = 0;
+  std::string dial, host, id, idempotency_key, body;
+  Micros timeout{0};
+};
+
+struct CallResult {
+  std::uint64_t serial = 0;
+  state::Ending ending = state::Ending::kNotStarted;
+  Micros latency{0}, wait{0};
+  LoadReport load;
+};
+
+class CallPool {
+ public:
+  struct Limits {
+    Micros connect_timeout{0};  // zero: none but the call's own
+    Micros idle_close{0};       // when the other side closes an idle connection
+    std::size_t most_connections = 0;
+  };
+
+  CallPool(Loop& loop, Limits limits, std::function<void(const CallResult&)> ended);
+  ~CallPool();
+
+  void Start(const CallRequest& request);
+  void CloseIdle(const std::string& dial);
+  std::size_t connections() const { return busy_.size() + idle_count_; }
+  std::size_t opened() const { return opened_; }
+
+ private:
+  class Connection;
+  using Idle = std::vector<std::unique_ptr<Connection>>;  // the latest used is last
+
+  void Finished(Connection& connection, const CallResult& result, bool reusable);
+  void IdleEnded(Connection& connection);
+  std::unique_ptr<Connection> TakeIdle(const std::string& dial);
+  void DropOldestIdle();
+  void CloseStale();
+  void Bury(std::unique_ptr<Connection> connection);
+
+  Loop& loop_;
+  Limits limits_;
+  std::function<void(const CallResult&)> ended_;
+  std::map<Connection*, std::unique_ptr<Connection>> busy_;
+  std::map<std::string, Idle> idle_;  // by address
+  std::size_t idle_count_ = 0, opened_ = 0;
+  std::vector<std::unique_ptr<Connection>> buried_;  // may still be in one of their callbacks
+  Timer sweep_, bury_;
+};
+
+std::string FormatCall(const CallRequest& request);
+LoadReport ParseLoad(std::string_view text);
+
+}  // namespace indigosaddle::net
--- /dev/null
+++ b/src/net/discovery.cpp
@@ -0,0 +1,194 @@
+#include "net/discovery.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <limits>
+#include <nlohmann/json.hpp>
+#include <set>
+#include <utility>
+
+namespace indigosaddle::net {
+namespace {
+
+using nlohmann::json;
+
+constexpr std::size_t kMostText = 8 * 1024 * 1024;   // of one list or line
+constexpr Micros kSilent = std::chrono::seconds(5);  // a line comes every 2 s
+constexpr Micros kLeastPause = std::chrono::milliseconds(100);
+constexpr Micros kMostPause = std::chrono::seconds(1);
+
+std::string Text(const json& entry, const char* name) {
+  const auto it = entry.find(name);
+  return it != entry.end() && it->is_string() ? it->get<std::string>() : std::string();
+}
+
+// Empty where the entry is good, else what is wrong with it.
+std::string ReadMember(const json& entry, Member& member) {
+  if (!entry.is_object()) return "not an object";
+  member.host = Text(entry, "host");
+  member.dial = Text(entry, "dial");
+  member.site = Text(entry, "site");
+  member.kind = Text(entry, "class");
+  if (member.host.empty()) return "no host";
+  const auto block = entry.find("block");
+  if (block == entry.end() || !block->is_number_integer() || (!block->is_number_unsigned() && *block < 0)) {
+    return "no block";
+  }
+  member.block = block->get<std::uint64_t>();
+  const std::string health = Text(entry, "health");
+  if (health == "Ready") {
+    member.health = Health::kReady;
+  } else if (health == "Terminating") {
+    member.health = Health::kTerminating;
+  } else if (health == "Gone") {
+    member.health = Health::kGone;
+  } else {
+    return "unknown health";
+  }
+  sockaddr_storage address{};
+  if (member.health != Health::kGone && !ParseAddress(member.dial, address)) return "no address to dial";
+  return {};
+}
+
+}  // namespace
+
+std::optional<MemberNews> ParseMembers(std::string_view text) {
+  const json whole = json::parse(text, nullptr, false);
+  if (!whole.is_object()) return std::nullopt;
+  const auto version = whole.find("seq"), full = whole.find("whole"), hosts = whole.find("hosts");
+  if (version == whole.end() || !version->is_number_unsigned()) return std::nullopt;
+  if (full == whole.end() || !full->is_boolean()) return std::nullopt;
+  if (hosts == whole.end() || !hosts->is_array()) return std::nullopt;
+  MemberNews news;
+  news.version = version->get<std::uint64_t>();
+  news.whole = full->get<bool>();
+  std::set<std::string> seen;
+  for (const json& entry : *hosts) {
+    Member member;
+    std::string trouble = ReadMember(entry, member);
+    if (trouble.empty() && !seen.insert(member.host).second) {
+      // Named twice: where the two differ, the careful reading holds.
+      trouble = "named twice";
+      for (Member& first : news.members) {
+        if (first.host == member.host) first.health = std::max(first.health, member.health);
+      }
+    }
+    if (trouble.empty()) {
+      news.members.push_back(std::move(member));
+    } else {
+      news.skipped.push_back(fmt::format("{}: {}", member.host.empty() ? "an entry" : member.host, trouble));
+    }
+  }
+  return news;
+}
+
+Discovery::Discovery(Loop& loop, Handler& handler, std::string address)
+    : loop_(loop),
+      handler_(handler),
+      address_(std::move(address)),
+      reader_(std::numeric_limits<std::size_t>::max(), [this](std::string_view bytes) { OnBody(bytes); }),
+      silence_(loop, [this] { Lost("silent"); }),
+      again_(loop,
+             [this] {
+               buried_.reset();
+               Ask();
+             }),
+      pause_(kLeastPause) {}
+
+void Discovery::Start() { Ask(); }
+
+void Discovery::Renew() {
+  if (stream_ == nullptr && !closed_) again_.Start(Micros(0));
+}
+
+void Discovery::Close() {
+  closed_ = true;
+  stream_.reset();
+  silence_.Stop();
+  again_.Stop();
+}
+
+void Discovery::Ask() {
+  if (closed_ || stream_ != nullptr) return;
+  watching_ = version_.has_value();
+  text_.clear();
+  reader_.Reset();
+  stream_ = std::make_unique<Stream>(loop_, static_cast<Stream::Listener&>(*this));
+  silence_.Start(kSilent);
+  if (stream_->Connect(address_) != 0) Lost("can't connect");
+}
+
+void Discovery::OnConnected(int error) {
+  if (error != 0) return Lost(uv_strerror(error));
+  const std::string path =
+      watching_ ? fmt::format("/catalog/members?watch=1&from={}", *version_) : "/catalog/members";
+  if (stream_->StartReading() != 0 ||
+      stream_->Write(fmt::format("GET {} HTTP/1.1\r\nHost: {}\r\nAccept: application/json\r\n\r\n", path,
+                                 address_)) != 0) {
+    Lost("can't ask");
+  }
+}
+
+void Discovery::OnBytes(std::string_view bytes) {
+  if (stream_ == nullptr) return;
+  silence_.Start(kSilent);
+  const bool good = reader_.Take(bytes);
+  if (stream_ == nullptr) return;  // lost while the body was read
+  if (reader_.head_done() && reader_.status() != 200) return Lost(fmt::format("status {}", reader_.status()));
+  if (!reader_.done()) {
+    if (!good) Lost("unreadable");
+    return;
+  }
+  if (watching_) return Lost("the watch ended");
+  Take(std::exchange(text_, {}));
+  if (!version_) return Lost("unreadable list");
+  if (stream_ == nullptr) return;
+  // On with the watch, on a connection of its own.
+  buried_ = std::move(stream_);
+  again_.Start(Micros(0));
+}
+
+void Discovery::OnEnd(int error) {
+  if (stream_ != nullptr) Lost(uv_strerror(error));
+}
+
+void Discovery::OnBody(std::string_view bytes) {
+  if (reader_.status() != 200 || stream_ == nullptr) return;
+  if (!watching_) {
+    text_.append(bytes);
+  } else {
+    while (!bytes.empty() && stream_ != nullptr) {
+      const std::size_t end = bytes.find('\n');
+      text_.append(bytes.substr(0, end));
+      if (end == std::string_view::npos) break;
+      bytes.remove_prefix(end + 1);
+      while (!text_.empty() && text_.back() == '\r') text_.pop_back();
+      if (!text_.empty()) Take(std::exchange(text_, {}));
+    }
+  }
+  if (text_.size() > kMostText && stream_ != nullptr) Lost("a list that is too long");
+}
+
+void Discovery::Take(std::string_view json) {
+  std::optional<MemberNews> news = ParseMembers(json);
+  if (!news) {
+    version_.reset();  // what was missed is in the whole list
+    if (watching_) Lost("unreadable line");
+    return;
+  }
+  version_ = news->version;
+  pause_ = kLeastPause;
+  handler_.OnMembers(std::move(*news));
+}
+
+void Discovery::Lost(std::string_view reason) {
+  if (closed_) return;
+  silence_.Stop();
+  if (stream_ != nullptr) buried_ = std::move(stream_);
+  again_.Start(pause_);
+  pause_ = std::min(2 * pause_, kMostPause);
+  handler_.OnWatchLost(reason);
+}
+
+}  // namespace indigosaddle::net
--- /dev/null
+++ b/src/net/http_reader.cpp
@@ -0,0 +1,110 @@
+#include "net/http_reader.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace indigosaddle::net {
+namespace {
+
+constexpr std::size_t kMostHead = 16 * 1024;
+
+bool Informational(unsigned status) { return status >= 100 && status < 200; }
+
+}  // namespace
+
+HttpReader::HttpReader(std::size_t most_body, std::function<void(std::string_view)> on_body)
+    : most_body_(most_body), on_body_(std::move(on_body)) {
+  Reset();
+}
+
+void HttpReader::Reset() {
+  http_parser_init(&parser_, HTTP_RESPONSE);
+  parser_.data = this;
+  status_ = 0;
+  head_done_ = done_ = keep_alive_ = in_value_ = false;
+  head_bytes_ = body_bytes_ = 0;
+  name_.clear();
+  value_.clear();
+  headers_.clear();
+}
+
+bool HttpReader::CountHead(std::size_t bytes) { return (head_bytes_ += bytes) <= kMostHead; }
+
+const http_parser_settings& HttpReader::Callbacks() {
+  static const http_parser_settings settings = [] {
+    http_parser_settings s;
+    http_parser_settings_init(&s);
+    s.on_status = [](http_parser* p, const char*, std::size_t size) {
+      HttpReader& self = Of(p);
+      if (!Informational(p->status_code)) self.status_ = static_cast<int>(p->status_code);
+      return self.CountHead(size) ? 0 : 1;
+    };
+    s.on_header_field = [](http_parser* p, const char* at, std::size_t size) {
+      HttpReader& self = Of(p);
+      if (std::exchange(self.in_value_, false)) {
+        self.headers_[std::exchange(self.name_, {})] = std::exchange(self.value_, {});
+      }
+      for (char c : std::string_view(at, size)) {
+        self.name_ += c >= 'A' && c <= 'Z' ? static_cast<char>(c - 'A' + 'a') : c;
+      }
+      return self.CountHead(size) ? 0 : 1;
+    };
+    s.on_header_value = [](http_parser* p, const char* at, std::size_t size) {
+      HttpReader& self = Of(p);
+      self.in_value_ = true;
+      self.value_.append(at, size);
+      return self.CountHead(size) ? 0 : 1;
+    };
+    s.on_headers_complete = [](http_parser* p) {
+      HttpReader& self = Of(p);
+      if (self.in_value_) self.headers_[self.name_] = self.value_;
+      self.in_value_ = false;
+      self.name_.clear();
+      self.value_.clear();
+      if (Informational(p->status_code)) return 0;
+      self.status_ = static_cast<int>(p->status_code);  // a first line may lack its phrase
+      self.head_done_ = true;
+      self.keep_alive_ = http_should_keep_alive(p) != 0;
+      return 0;
+    };
+    s.on_body = [](http_parser* p, const char* at, std::size_t size) {
+      HttpReader& self = Of(p);
+      self.body_bytes_ += size;
+      if (self.body_bytes_ > self.most_body_) return 1;
+      if (self.on_body_) self.on_body_({at, size});
+      return 0;
+    };
+    s.on_message_complete = [](http_parser* p) {
+      HttpReader& self = Of(p);
+      if (Informational(p->status_code)) {
+        self.headers_.clear();
+        return 0;
+      }
+      self.done_ = true;
+      http_parser_pause(p, 1);  // nothing may follow
+      return 0;
+    };
+    return s;
+  }();
+  return settings;
+}
+
+bool HttpReader::Take(std::string_view bytes) {
+  if (done_) return bytes.empty();
+  const std::size_t taken = http_parser_execute(&parser_, &Callbacks(), bytes.data(), bytes.size());
+  const http_errno error = HTTP_PARSER_ERRNO(&parser_);
+  // A pause at the answer's last byte counts that byte as not taken.
+  if (done_) return error == HPE_PAUSED && taken + 1 >= bytes.size();
+  return error == HPE_OK && parser_.upgrade == 0;
+}
+
+void HttpReader::TakeEnd() {
+  if (!done_) http_parser_execute(&parser_, &Callbacks(), nullptr, 0);
+}
+
+std::string_view HttpReader::header(const std::string& lower_name) const {
+  const auto it = headers_.find(lower_name);
+  return it == headers_.end() ? std::string_view() : std::string_view(it->second);
+}
+
+}  // namespace indigosaddle::net
--- /dev/null
+++ b/src/net/loop.cpp
@@ -0,0 +1,193 @@
+#include "net/loop.h"
+
+#include <sys/ioctl.h>
+#include <sys/socket.h>
+
+#include <algorithm>
+#include <cerrno>
+#include <charconv>
+#include <stdexcept>
+#include <utility>
+
+namespace indigosaddle::net {
+
+Loop::Loop() {
+  if (const int error = uv_loop_init(&loop_); error != 0) throw std::runtime_error(uv_strerror(error));
+  loop_.data = this;
+  wall_origin_ = std::chrono::duration_cast<Micros>(std::chrono::system_clock::now().time_since_epoch());
+  steady_origin_ = uv_hrtime();
+}
+
+Loop::~Loop() {
+  uv_run(&loop_, UV_RUN_NOWAIT);  // lets closing handles finish
+  uv_loop_close(&loop_);
+}
+
+Micros Loop::Now() const {
+  const auto elapsed = std::chrono::nanoseconds(uv_hrtime() - steady_origin_);
+  return wall_origin_ + std::chrono::duration_cast<Micros>(elapsed);
+}
+
+Timer::Timer(Loop& loop, std::function<void()> due) : handle_(new Handle), due_(std::move(due)) {
+  handle_->owner = this;
+  uv_timer_init(loop.raw(), &handle_->timer);
+  handle_->timer.data = handle_;
+}
+
+Timer::~Timer() {
+  handle_->owner = nullptr;
+  uv_close(reinterpret_cast<uv_handle_t*>(&handle_->timer),
+           [](uv_handle_t* handle) { delete static_cast<Handle*>(handle->data); });
+}
+
+void Timer::Start(Micros after) {
+  // Rounded up: a timer that is early by a fraction of a millisecond would find nothing due.
+  const auto millis = std::max<std::int64_t>(0, std::chrono::ceil<std::chrono::milliseconds>(after).count());
+  uv_update_time(handle_->timer.loop);
+  uv_timer_start(
+      &handle_->timer,
+      [](uv_timer_t* timer) {
+        auto* handle = static_cast<Handle*>(timer->data);
+        if (handle->owner != nullptr) {
+          const std::function<void()> due = handle->owner->due_;  // may destroy its timer
+          due();
+        }
+      },
+      static_cast<std::uint64_t>(millis), 0);
+}
+
+void Timer::Stop() { uv_timer_stop(&handle_->timer); }
+
+struct Stream::Handle {
+  uv_tcp_t tcp{};
+  uv_connect_t connect{};
+  Stream* owner = nullptr;
+  std::size_t unwritten = 0;
+};
+
+struct Stream::Pending {
+  uv_write_t request{};
+  Handle* handle = nullptr;
+  std::string bytes;
+  std::size_t size = 0;
+};
+
+Stream::Stream(Loop& loop, Listener& listener) : handle_(new Handle), listener_(listener) {
+  handle_->owner = this;
+  uv_tcp_init(loop.raw(), &handle_->tcp);
+  handle_->tcp.data = handle_;
+  handle_->connect.data = handle_;
+}
+
+Stream::~Stream() {
+  handle_->owner = nullptr;
+  uv_close(reinterpret_cast<uv_handle_t*>(&handle_->tcp),
+           [](uv_handle_t* handle) { delete static_cast<Handle*>(handle->data); });
+}
+
+int Stream::Connect(const std::string& address) {
+  sockaddr_storage to{};
+  if (!ParseAddress(address, to)) return UV_EINVAL;
+  const int error = uv_tcp_connect(&handle_->connect, &handle_->tcp, reinterpret_cast<const sockaddr*>(&to),
+                                   [](uv_connect_t* request, int status) {
+                                     auto* handle = static_cast<Handle*>(request->data);
+                                     if (handle->owner != nullptr)
+                                       handle->owner->listener_.OnConnected(status);
+                                   });
+  if (error == 0) uv_tcp_nodelay(&handle_->tcp, 1);
+  return error;
+}
+
+int Stream::Accept(uv_stream_t* server) {
+  const int error = uv_accept(server, reinterpret_cast<uv_stream_t*>(&handle_->tcp));
+  if (error == 0) uv_tcp_nodelay(&handle_->tcp, 1);
+  return error;
+}
+
+int Stream::StartReading() {
+  return uv_read_start(
+      reinterpret_cast<uv_stream_t*>(&handle_->tcp),
+      [](uv_handle_t* handle, std::size_t, uv_buf_t* buffer) {
+        auto& space = static_cast<Loop*>(handle->loop->data)->read_buffer();
+        *buffer = uv_buf_init(space.data(), static_cast<unsigned>(space.size()));
+      },
+      [](uv_stream_t* stream, ssize_t count, const uv_buf_t* buffer) {
+        auto* handle = static_cast<Handle*>(stream->data);
+        if (handle->owner == nullptr || count == 0) return;
+        if (count > 0) {
+          handle->owner->listener_.OnBytes({buffer->base, static_cast<std::size_t>(count)});
+        } else {
+          uv_read_stop(stream);
+          handle->owner->listener_.OnEnd(static_cast<int>(count));
+        }
+      });
+}
+
+void Stream::StopReading() { uv_read_stop(reinterpret_cast<uv_stream_t*>(&handle_->tcp)); }
+
+int Stream::Write(std::string bytes) {
+  auto* stream = reinterpret_cast<uv_stream_t*>(&handle_->tcp);
+  std::size_t done = 0;
+  if (handle_->unwritten == 0) {
+    const uv_buf_t buffer = uv_buf_init(bytes.data(), static_cast<unsigned>(bytes.size()));
+    const int wrote = uv_try_write(stream, &buffer, 1);
+    if (wrote < 0 && wrote != UV_EAGAIN) return wrote;
+    done = wrote > 0 ? static_cast<std::size_t>(wrote) : 0;
+    if (done == bytes.size()) return 0;
+  }
+  auto* pending = new Pending{{}, handle_, std::move(bytes), 0};  // deleted in the callback below
+  pending->size = pending->bytes.size() - done;
+  pending->request.data = pending;
+  handle_->unwritten += pending->size;
+  const uv_buf_t buffer = uv_buf_init(pending->bytes.data() + done, static_cast<unsigned>(pending->size));
+  const int error = uv_write(&pending->request, stream, &buffer, 1, [](uv_write_t* request, int status) {
+    const std::unique_ptr<Pending> written(static_cast<Pending*>(request->data));
+    Handle* handle = written->handle;
+    handle->unwritten -= written->size;
+    if (handle->owner == nullptr || status == UV_ECANCELED) return;
+    if (status < 0) {
+      handle->owner->listener_.OnEnd(status);
+    } else if (handle->unwritten == 0) {
+      handle->owner->listener_.OnDrained();
+    }
+  });
+  if (error != 0) {
+    handle_->unwritten -= pending->size;
+    delete pending;
+  }
+  return error;
+}
+
+std::size_t Stream::unwritten() const { return handle_->unwritten; }
+
+std::size_t Stream::unread() const {
+  uv_os_fd_t descriptor = -1;
+  int count = 0;
+  if (uv_fileno(reinterpret_cast<const uv_handle_t*>(&handle_->tcp), &descriptor) != 0) return 0;
+  return ioctl(descriptor, FIONREAD, &count) == 0 && count > 0 ? static_cast<std::size_t>(count) : 0;
+}
+
+bool Stream::ended_unread() const {
+  uv_os_fd_t descriptor = -1;
+  char byte = 0;
+  if (uv_fileno(reinterpret_cast<const uv_handle_t*>(&handle_->tcp), &descriptor) != 0) return true;
+  const ssize_t count = recv(descriptor, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+  return count == 0 || (count < 0 && errno != EAGAIN && errno != EWOULDBLOCK && errno != EINTR);
+}
+
+bool ParseAddress(const std::string& text, sockaddr_storage& address) {
+  const std::size_t colon = text.rfind(':');
+  if (colon == std::string::npos) return false;
+  int port = 0;
+  const char* end = text.data() + text.size();
+  const auto [stop, error] = std::from_chars(text.data() + colon + 1, end, port);
+  if (error != std::errc() || stop != end || port < 0 || port > 65535) return false;
+  std::string host = text.substr(0, colon);
+  if (host.size() > 2 && host.front() == '[' && host.back() == ']') {
+    host = host.substr(1, host.size() - 2);
+    return uv_ip6_addr(host.c_str(), port, reinterpret_cast<sockaddr_in6*>(&address)) == 0;
+  }
+  return uv_ip4_addr(host.c_str(), port, reinterpret_cast<sockaddr_in*>(&address)) == 0;
+}
+
+}  // namespace indigosaddle::net
--- /dev/null
+++ b/src/net/loop.h
@@ -0,0 +1,99 @@
+// The one loop of the node, and the handles on it as owned objects: destroying one closes it.
+#pragma once
+
+#include <uv.h>
+
+#include <array>
+#include <chrono>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+#include <string_view>
+
+#include "brain.h"
+
+namespace indigosaddle::net {
+
+class Loop {
+ public:
+  Loop();
+  ~Loop();
+  Loop(const Loop&) = delete;
+  Loop& operator=(const Loop&) = delete;
+
+  uv_loop_t* raw() { return &loop_; }
+  void Run() { uv_run(&loop_, UV_RUN_DEFAULT); }
+  void Stop() { uv_stop(&loop_); }
+
+  // The node's clock: steady, and tied to the wall clock once, when the loop was made, so that instants in
+  // the journal mean the same to the next process.
+  Micros Now() const;
+
+  // Where reads land; what a callback is given is valid until it returns.
+  std::array<char, 65536>& read_buffer() { return read_buffer_; }
+
+ private:
+  uv_loop_t loop_{};
+  Micros wall_origin_{0};
+  std::uint64_t steady_origin_ = 0;
+  std::array<char, 65536> read_buffer_{};
+};
+
+class Timer {
+ public:
+  Timer(Loop& loop, std::function<void()> due);
+  ~Timer();
+  Timer(const Timer&) = delete;
+  Timer& operator=(const Timer&) = delete;
+
+  void Start(Micros after);  // replaces an earlier start
+  void Stop();
+
+ private:
+  struct Handle {
+    uv_timer_t timer{};
+    Timer* owner = nullptr;
+  };
+  Handle* handle_;
+  std::function<void()> due_;
+};
+
+// A TCP connection. Its callbacks may destroy it.
+class Stream {
+ public:
+  class Listener {
+   public:
+    virtual ~Listener() = default;
+    virtual void OnConnected(int /*error*/) {}
+    virtual void OnBytes(std::string_view bytes) = 0;
+    virtual void OnEnd(int error) = 0;  // UV_EOF or what broke it; the last callback
+    virtual void OnDrained() {}         // all that was written is with the system
+  };
+
+  Stream(Loop& loop, Listener& listener);
+  ~Stream();
+  Stream(const Stream&) = delete;
+  Stream& operator=(const Stream&) = delete;
+
+  int Connect(const std::string& address);  // "ip:port"; a negative code where it can't begin
+  int Accept(uv_stream_t* server);
+  int StartReading();
+  void StopReading();
+  int Write(std::string bytes);  // a negative code where the connection is known to be broken
+  std::size_t unwritten() const;
+  std::size_t unread() const;  // bytes that have come and were not read
+  bool ended_unread() const;   // the other side has closed, which was not read yet
+
+ private:
+  struct Handle;
+  struct Pending;
+
+  Handle* handle_;
+  Listener& listener_;
+};
+
+// False where the text is not "ip:port".
+bool ParseAddress(const std::string& text, sockaddr_storage& address);
+
+}  // namespace indigosaddle::net
--- /dev/null
+++ b/src/net/notices.h
@@ -0,0 +1,59 @@
+// Tells the platform how messages ended: one batch at a time, again until it is answered.
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "net/http_reader.h"
+#include "net/loop.h"
+
+namespace indigosaddle::net {
+
+struct NoticeLine {
+  std::uint64_t serial = 0;
+  std::string json;
+};
+
+std::string FormatFailed(const std::string& id);
+std::string FormatReturned(const std::string& id, Micros not_before);
+
+class Notices : private Stream::Listener {
+ public:
+  class Handler {
+   public:
+    virtual ~Handler() = default;
+    virtual void OnNoticesTaken(const std::vector<std::uint64_t>& serials) = 0;
+    virtual void OnNoticeUnreadable(std::string_view line) = 0;  // given up: it would never be read
+  };
+
+  Notices(Loop& loop, Handler& handler, std::string address);
+
+  void Post(std::vector<NoticeLine> lines);  // only after the last batch was taken
+  void Close();
+
+ private:
+  void Send();
+  void OnConnected(int error) override;
+  void OnBytes(std::string_view bytes) override;
+  void OnEnd(int error) override;
+  void Write();
+  void Answered();
+  void Again();
+
+  Loop& loop_;
+  Handler& handler_;
+  const std::string address_;
+  std::vector<NoticeLine> lines_;
+  std::vector<std::uint64_t> taken_;  // of the present batch
+  std::size_t at_once_ = 0;           // of the lines, in the request that is out
+  HttpReader reader_;
+  std::unique_ptr<Stream> stream_, buried_;
+  bool up_ = false, out_ = false;
+  Timer patience_, again_;
+  Micros pause_;
+};
+
+}  // namespace indigosaddle::net
--- /dev/null
+++ b/src/net/resp.cpp
@@ -0,0 +1,137 @@
+#include "net/resp.h"
+
+#include <algorithm>
+#include <charconv>
+#include <utility>
+
+namespace indigosaddle::net {
+namespace {
+
+constexpr std::int64_t kMostParts = 64;
+constexpr std::size_t kMostLine = 32;                       // a mark, a number and the line's end
+constexpr std::size_t kMostCommand = kMostBody + 8 * 1024;  // all parts together
+constexpr std::int64_t kMostMillis = 1'000'000'000;         // of `d`: over eleven days
+constexpr std::size_t kMostName = 256;                      // an id or a key
+
+template <typename T>
+bool ParseNumber(std::string_view text, T& value) {
+  const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), value);
+  return error == std::errc() && end == text.data() + text.size() && !text.empty();
+}
+
+// Ids and keys go on as header values and in JSON: visible ASCII only.
+bool IsName(std::string_view text) {
+  return !text.empty() && text.size() <= kMostName &&
+         std::all_of(text.begin(), text.end(), [](char c) { return c > ' ' && c < 0x7f; });
+}
+
+}  // namespace
+
+RespReader::Status RespReader::Break(std::string trouble) {
+  phase_ = Phase::kBroken;
+  trouble_ = std::move(trouble);
+  return Status::kBroken;
+}
+
+bool RespReader::ReadLine(std::string_view& bytes) {
+  while (!bytes.empty() && line_.size() <= kMostLine) {
+    const char c = bytes.front();
+    bytes.remove_prefix(1);
+    if (c == '\n') return true;
+    line_ += c;
+  }
+  return false;
+}
+
+bool RespReader::Number(char mark, std::int64_t most, std::int64_t& value) {
+  std::string_view line = line_;
+  if (line.empty() || line.front() != mark || line.back() != '\r') return false;
+  line = line.substr(1, line.size() - 2);
+  return ParseNumber(line, value) && value >= 0 && value <= most;
+}
+
+RespReader::Status RespReader::Next(std::string_view& bytes) {
+  if (phase_ == Phase::kBroken) return Status::kBroken;
+  if (std::exchange(fresh_, false)) {
+    command_.clear();
+    size_ = 0;
+  }
+  while (true) {
+    if (phase_ == Phase::kBulk) {
+      // The body and its line end; a body that is longer than told shows in the latter.
+      const auto wanted = static_cast<std::size_t>(bulk_) + 2 - command_.back().size();
+      const std::size_t taken = std::min(wanted, bytes.size());
+      command_.back().append(bytes.substr(0, taken));
+      bytes.remove_prefix(taken);
+      if (taken < wanted) return Status::kNeedsMore;
+      if (!command_.back().ends_with("\r\n")) return Break("a bulk string that does not end where told");
+      command_.back().resize(static_cast<std::size_t>(bulk_));
+      --left_;
+      phase_ = left_ > 0 ? Phase::kLength : Phase::kArray;
+      if (left_ > 0) continue;
+      fresh_ = true;
+      return Status::kCommand;
+    }
+    if (!ReadLine(bytes)) {
+      return line_.size() > kMostLine ? Break("a line that is too long") : Status::kNeedsMore;
+    }
+    if (phase_ == Phase::kArray) {
+      if (!Number('*', kMostParts, left_)) return Break("expected an array of at most 64 parts");
+      line_.clear();
+      if (left_ == 0) continue;  // an empty array asks nothing
+      phase_ = Phase::kLength;
+    } else {
+      if (!Number('$', static_cast<std::int64_t>(kMostBody), bulk_)) {
+        return Break("expected a bulk string of at most 65536 bytes");
+      }
+      line_.clear();
+      size_ += static_cast<std::size_t>(bulk_);
+      if (size_ > kMostCommand) return Break("a command that is too long");
+      command_.emplace_back();
+      phase_ = Phase::kBulk;
+    }
+  }
+}
+
+std::string ParseEnqueue(const std::vector<std::string>& command, Enqueue& out) {
+  if (command.size() != 5) return "ENQUEUE takes a key, an id, a list of names and values, and a body";
+  out.id = command[2];
+  if (!IsName(out.id)) return "the id is empty, too long, or not visible ASCII";
+  bool has_class = false, has_left = false, has_destination = false;
+  std::string_view rest = command[3];
+  while (!rest.empty()) {
+    const std::size_t comma = rest.find(',');
+    const std::string_view pair = rest.substr(0, comma);
+    rest.remove_prefix(comma == std::string_view::npos ? rest.size() : comma + 1);
+    const std::size_t equals = pair.find('=');
+    if (equals == std::string_view::npos) return "a name without a value";
+    const std::string_view name = pair.substr(0, equals), value = pair.substr(equals + 1);
+    if (name == "c") {
+      has_class = !value.empty();
+      out.message_class = value;
+    } else if (name == "t") {
+      out.tenant = value;
+    } else if (name == "k") {
+      if (!IsName(value)) return "k is empty, too long, or not visible ASCII";
+      out.idempotency_key = value;
+    } else if (name == "thread") {
+      if (!IsName(value)) return "thread is empty, too long, or not visible ASCII";
+      out.order_key = value;
+    } else if (name == "d") {
+      double millis = 0;
+      if (!ParseNumber(value, millis) || !(millis >= 0 && millis <= kMostMillis)) return "d is no time";
+      out.time_left = std::chrono::duration_cast<Micros>(std::chrono::duration<double, std::milli>(millis));
+      has_left = true;
+    } else if (name == "dest") {
+      if (!ParseNumber(value, out.destination)) return "dest is no number";
+      has_destination = true;
+    }  // other names are for others
+  }
+  if (!has_class) return "c is missing";
+  if (!has_left) return "d is missing";
+  if (!has_destination) return "dest is missing";
+  out.body = command[4];
+  return {};
+}
+
+}  // namespace indigosaddle::net
--- /dev/null
+++ b/src/net/resp_server.h
@@ -0,0 +1,56 @@
+// Where clients hand messages in: accepts connections, reads commands, writes replies in the order asked.
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <list>
+#include <map>
+#include <memory>
+#include <string>
+
+#include "net/loop.h"
+#include "net/resp.h"
+
+namespace indigosaddle::net {
+
+class RespServer {
+ public:
+  class Handler {
+   public:
+    virtual ~Handler() = default;
+    // Must be answered by Reply, unless the connection goes first.
+    virtual void OnEnqueue(std::uint64_t connection, std::uint64_t command, Enqueue enqueue) = 0;
+    virtual void OnClientGone(std::uint64_t connection) = 0;
+  };
+
+  RespServer(Loop& loop, Handler& handler, std::size_t most_connections);
+  ~RespServer();
+  RespServer(const RespServer&) = delete;
+  RespServer& operator=(const RespServer&) = delete;
+
+  int Listen(const std::string& address);  // a negative code where that fails
+  std::string address() const;             // as bound
+  void StopListening();
+  void Reply(std::uint64_t connection, std::uint64_t command, std::string line);
+  // Closes connections that stand between requests and have nothing unread. True when none is left.
+  bool CloseQuiet();
+  std::size_t connections() const { return connections_.size(); }
+
+ private:
+  class Connection;
+
+  void Admit();
+  void Drop(std::uint64_t connection);
+
+  Loop& loop_;
+  Handler& handler_;
+  std::size_t most_connections_;
+  uv_tcp_t* listener_ = nullptr;  // closed and freed by the loop
+  bool waiting_ = false;          // a client that there was no room for
+  std::uint64_t last_connection_ = 0;
+  std::map<std::uint64_t, std::unique_ptr<Connection>> connections_;
+  std::list<std::unique_ptr<Connection>> buried_;  // may still be in one of their callbacks
+  Timer bury_, admit_;
+};
+
+}  // namespace indigosaddle::net
--- /dev/null
+++ b/src/node/journal_file.cpp
@@ -0,0 +1,83 @@
+#include "node/journal_file.h"
+
+#include <fcntl.h>
+#include <sys/stat.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <cerrno>
+#include <cstdio>
+#include <cstring>
+#include <utility>
+
+namespace indigosaddle::node {
+namespace {
+
+bool WriteAll(int descriptor, std::string_view bytes) {
+  while (!bytes.empty()) {
+    const ssize_t wrote = write(descriptor, bytes.data(), bytes.size());
+    if (wrote < 0 && errno == EINTR) continue;
+    if (wrote <= 0) return false;
+    bytes.remove_prefix(static_cast<std::size_t>(wrote));
+  }
+  return true;
+}
+
+}  // namespace
+
+JournalFile::JournalFile(std::string folder)
+    : path_(folder + "/journal"), new_path_(std::move(folder) + "/journal.new") {}
+
+JournalFile::~JournalFile() { Close(); }
+
+void JournalFile::Close() {
+  if (descriptor_ >= 0) close(std::exchange(descriptor_, -1));
+}
+
+bool JournalFile::Read(std::size_t most, std::string& bytes, std::string& trouble) {
+  bytes.clear();
+  if (unlink(new_path_.c_str()) == 0) trouble = "a rewrite was cut off; the journal before it holds";
+  const int file = open(path_.c_str(), O_RDONLY | O_CLOEXEC);
+  if (file < 0) {
+    if (errno == ENOENT) return true;
+    trouble = std::strerror(errno);
+    return errno != EACCES && errno != ENOTDIR;
+  }
+  std::string block(1 << 16, '\0');
+  while (bytes.size() < most) {
+    const ssize_t count = read(file, block.data(), std::min(block.size(), most - bytes.size()));
+    if (count < 0 && errno == EINTR) continue;
+    if (count < 0) trouble = std::strerror(errno);
+    if (count <= 0) break;
+    bytes.append(block, 0, static_cast<std::size_t>(count));
+  }
+  close(file);
+  return true;
+}
+
+bool JournalFile::Append(std::string_view bytes) {
+  if (descriptor_ < 0) return false;  // until a rewrite has made one
+  if (WriteAll(descriptor_, bytes)) {
+    size_ += bytes.size();
+    return true;
+  }
+  // Not a part of it: what follows would be unreadable behind a torn record.
+  if (ftruncate(descriptor_, static_cast<off_t>(size_)) != 0) Close();
+  return false;
+}
+
+bool JournalFile::Rewrite(std::string_view bytes) {
+  const int file = open(new_path_.c_str(), O_WRONLY | O_CREAT | O_TRUNC | O_APPEND | O_CLOEXEC, 0600);
+  if (file < 0) return false;
+  if (!WriteAll(file, bytes) || rename(new_path_.c_str(), path_.c_str()) != 0) {
+    close(file);
+    unlink(new_path_.c_str());
+    return false;
+  }
+  Close();
+  descriptor_ = file;
+  size_ = bytes.size();
+  return true;
+}
+
+}  // namespace indigosaddle::node
--- /dev/null
+++ b/src/node/node.cpp
@@ -0,0 +1,310 @@
+#include "node/node.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace indigosaddle::node {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+// A planned restart kills no sooner than 3.7 s after its signal.
+constexpr Micros kLeaveClientsAfter = milliseconds(3000);
+constexpr Micros kFinishAfter = milliseconds(3300);
+constexpr Micros kLeaveAgain = milliseconds(10);
+constexpr Micros kJournalAgain = milliseconds(50);
+constexpr Micros kReportEvery = seconds(10);
+
+// Descriptors: what the program needs besides connections, and the shares of the rest.
+constexpr std::size_t kOwnDescriptors = 32;
+constexpr std::size_t kLeastConnections = 16;
+
+std::size_t Connections(std::size_t sockets) {
+  return std::max(2 * kLeastConnections, sockets > kOwnDescriptors ? sockets - kOwnDescriptors : 0) / 2;
+}
+
+state::Limits LimitsOf(const Config& config) {
+  return {static_cast<std::size_t>(std::max(0, config.settings.max_open)), config.disk_bytes, config.classes,
+          config.tenants};
+}
+
+int NumberOf(const std::map<std::string, int>& names, const std::string& name) {
+  const auto it = names.find(name);
+  return it == names.end() ? -1 : it->second;
+}
+
+}  // namespace
+
+Node::Node(net::Loop& loop, Config config, Logger& log)
+    : loop_(loop),
+      config_(std::move(config)),
+      log_(log),
+      journal_(config_.state_folder),
+      state_(LimitsOf(config_)),
+      brain_(MakeBrain(config_.settings, *this)),
+      pool_(loop, {config_.connect_timeout, config_.settings.idle_close, Connections(config_.sockets)},
+            [this](const net::CallResult& result) { OnCallEnded(result); }),
+      server_(loop, *this, Connections(config_.sockets)),
+      discovery_(loop, *this, config_.discovery),
+      notices_(loop, *this, config_.discovery),
+      turn_timer_(loop, [this] { turn_due_ = true; }),
+      later_timer_(loop, [this] { turn_due_ = true; }),
+      leave_timer_(loop, [this] { LeaveClients(); }),
+      finish_timer_(loop, [this] { Finish(); }),
+      report_timer_(loop, [this] { Report(); }) {
+  uv_prepare_init(loop.raw(), &prepare_);
+  uv_check_init(loop.raw(), &check_);
+  uv_idle_init(loop.raw(), &idle_);
+  prepare_.data = check_.data = idle_.data = this;
+}
+
+Node::~Node() {
+  uv_close(reinterpret_cast<uv_handle_t*>(&prepare_), nullptr);
+  uv_close(reinterpret_cast<uv_handle_t*>(&check_), nullptr);
+  uv_close(reinterpret_cast<uv_handle_t*>(&idle_), nullptr);
+  uv_run(loop_.raw(), UV_RUN_NOWAIT);  // these three are members: they must be closed before they go
+}
+
+bool Node::Start() {
+  std::string bytes, trouble;
+  if (!journal_.Read(config_.disk_bytes, bytes, trouble)) {
+    log_.Error("the folder {} can't be used: {}", config_.state_folder, trouble);
+    return false;
+  }
+  if (!trouble.empty()) log_.Warn("journal: {}", trouble);
+  state::ReadJournal old = state::ParseJournal(bytes);
+  if (!old.trouble.empty()) {
+    log_.Warn("journal: {}; {} of {} bytes kept", old.trouble, old.read, bytes.size());
+  }
+  if (!config_.known.empty()) {
+    if (auto news = net::ParseMembers(config_.known)) {
+      news->whole = true;
+      OnMembers(std::move(*news));
+    } else {
+      log_.Warn("the known list can't be read");
+    }
+  }
+  Push(state::Recovered{std::move(old.records)});
+  RunTurn();
+  if (const int error = server_.Listen(config_.listen); error != 0) {
+    log_.Error("can't listen on {}: {}", config_.listen, uv_strerror(error));
+    return false;
+  }
+  const auto turn = [](auto* handle) {
+    auto* self = static_cast<Node*>(handle->data);
+    if (self->turn_due_ || !self->events_.empty()) self->RunTurn();
+  };
+  uv_prepare_start(&prepare_, turn);
+  uv_check_start(&check_, turn);
+  discovery_.Start();
+  report_timer_.Start(kReportEvery);
+  log_.Info("{} serves on {}: {} connections each way, {} bytes of journal", config_.name, server_.address(),
+            Connections(config_.sockets), config_.disk_bytes);
+  return true;
+}
+
+void Node::Stop() {
+  if (std::exchange(stopping_, true)) return;
+  log_.Info("stopping: {} messages open", state_.open());
+  Push(state::StopAsked{loop_.Now() + kFinishAfter});
+  leave_timer_.Start(kLeaveClientsAfter);
+  finish_timer_.Start(kFinishAfter);
+}
+
+void Node::LeaveClients() {
+  server_.StopListening();
+  if (server_.CloseQuiet() && state_.open() == 0 && state_.notices.empty()) return Finish();
+  leave_timer_.Start(kLeaveAgain);
+}
+
+void Node::Finish() {
+  Report();
+  log_.Info("stopped: {} messages and {} notices stay in the journal", state_.open(), state_.notices.size());
+  loop_.Stop();
+}
+
+void Node::Report() {
+  std::string calls;
+  for (std::size_t i = 0; i < endings_.size(); ++i) {
+    if (endings_[i] == 0) continue;
+    calls += fmt::format(" {} {},", endings_[i], state::NameOf(static_cast<state::Ending>(i)));
+  }
+  log_.Info(
+      "taken {}, busy {}, failed {}; open {}, notices {}; clients {}, calls' connections {} ({} opened); "
+      "journal {} bytes;{}",
+      taken_, busy_, failed_, state_.open(), state_.notices.size(), server_.connections(),
+      pool_.connections(), pool_.opened(), state_.journal_size, calls);
+  report_timer_.Start(kReportEvery);
+}
+
+// ---- Turns ----------------------------------------------------------------------------------------------
+
+void Node::Push(state::Event event) {
+  events_.push_back(std::move(event));
+  uv_idle_start(&idle_, [](uv_idle_t*) {});
+}
+
+// What came since the last turn goes to the module, then its decisions are carried out. Nothing leaves before
+// the journal holds it.
+void Node::RunTurn() {
+  turn_due_ = false;
+  uv_idle_stop(&idle_);
+  now_ = std::max(now_, loop_.Now());
+  brain_->OnTurnStart(now_);
+  for (state::Effect& effect : std::exchange(later_, {})) Carry(effect);
+  for (const state::Event& event : std::exchange(events_, {})) Reduce(event);
+  brain_->OnTurnEnd();
+  for (const state::Event& decision : std::exchange(decisions_, {})) Reduce(decision);
+  Reduce(state::TurnEnded{});
+}
+
+void Node::Reduce(const state::Event& event) {
+  state::Effects effects;
+  state::Reduce(state_, event, effects);
+  for (state::Effect& effect : effects) Carry(effect);
+}
+
+// The end of a journal write. Where it failed, what the module must hear comes with a later turn, so that a
+// full disk is not tried in a tight circle.
+void Node::Write(bool ok) {
+  if (ok == journal_failed_) log_.Warn("the journal {}", ok ? "is written again" : "can't be written");
+  journal_failed_ = !ok;
+  if (ok) return Reduce(state::JournalWritten{true});
+  state::Effects effects;
+  state::Reduce(state_, state::JournalWritten{false}, effects);
+  for (state::Effect& effect : effects) {
+    if (std::holds_alternative<state::Reply>(effect)) {
+      Carry(effect);
+    } else {
+      later_.push_back(std::move(effect));
+    }
+  }
+  later_timer_.Start(kJournalAgain);
+}
+
+void Node::Carry(state::Effect& effect) {
+  using namespace state;
+  if (auto* e = std::get_if<TellMessage>(&effect)) {
+    brain_->OnMessage(e->message);
+  } else if (auto* e = std::get_if<TellWithdrawn>(&effect)) {
+    brain_->OnWithdrawn(e->id);
+  } else if (auto* e = std::get_if<TellOutcome>(&effect)) {
+    brain_->OnOutcome(e->outcome);
+  } else if (auto* e = std::get_if<TellList>(&effect)) {
+    brain_->OnList(e->entries, e->whole);
+  } else if (std::holds_alternative<TellListLost>(effect)) {
+    brain_->OnListFailed();
+  } else if (auto* e = std::get_if<TellStop>(&effect)) {
+    brain_->OnStop(e->at);
+  } else if (auto* e = std::get_if<AppendJournal>(&effect)) {
+    Write(journal_.Append(e->bytes));
+  } else if (auto* e = std::get_if<RewriteJournal>(&effect)) {
+    Write(journal_.Rewrite(e->bytes));
+  } else if (auto* e = std::get_if<state::Reply>(&effect)) {
+    std::string line = "-ERR failed\r\n";
+    if (e->answer == Answer::kTaken) line = "+OK\r\n";
+    if (e->answer == Answer::kBusy) {
+      const auto millis = std::chrono::ceil<milliseconds>(e->not_before).count();
+      line = millis > 0 ? fmt::format("-BUSY {}\r\n", millis) : "-BUSY\r\n";
+    }
+    ++(e->answer == Answer::kTaken ? taken_ : e->answer == Answer::kBusy ? busy_ : failed_);
+    server_.Reply(e->client.connection, e->client.command, std::move(line));
+  } else if (auto* e = std::get_if<StartCall>(&effect)) {
+    pool_.Start({e->serial, std::move(e->dial), std::move(e->endpoint), std::move(e->id),
+                 std::move(e->idempotency_key), std::move(e->body), e->timeout});
+  } else if (auto* e = std::get_if<PostNotices>(&effect)) {
+    std::vector<net::NoticeLine> lines;
+    for (const Notice& notice : e->notices) {
+      lines.push_back({notice.serial, notice.end == End::kReturned
+                                          ? net::FormatReturned(notice.id, notice.not_before)
+                                          : net::FormatFailed(notice.id)});
+    }
+    notices_.Post(std::move(lines));
+  } else if (auto* e = std::get_if<ArmTimer>(&effect)) {
+    turn_timer_.Start(std::max(Micros(0), e->at - loop_.Now()));
+  } else if (std::holds_alternative<RenewWatch>(effect)) {
+    discovery_.Renew();
+  } else if (auto* e = std::get_if<state::CloseIdle>(&effect)) {
+    pool_.CloseIdle(e->dial);
+  } else if (auto* e = std::get_if<Note>(&effect)) {
+    log_.Info("{}", e->text);
+  }
+}
+
+// ---- The module's decisions -----------------------------------------------------------------------------
+
+void Node::Send(MessageId id, const EndpointId& endpoint, Micros timeout) {
+  decisions_.emplace_back(state::WantsSend{id, endpoint, timeout, now_});
+}
+void Node::Refuse(MessageId id, Micros not_before) {
+  decisions_.emplace_back(state::WantsRefusal{id, not_before});
+}
+void Node::Fail(MessageId id) { decisions_.emplace_back(state::WantsFailure{id}); }
+void Node::SetTimer(Micros at) { decisions_.emplace_back(state::WantsTimer{at}); }
+void Node::Watch() { decisions_.emplace_back(state::WantsWatch{}); }
+void Node::CloseIdle(const EndpointId& endpoint) {
+  decisions_.emplace_back(state::WantsIdleClosed{endpoint});
+}
+
+// ---- What the sockets bring -----------------------------------------------------------------------------
+
+void Node::OnEnqueue(std::uint64_t connection, std::uint64_t command, net::Enqueue enqueue) {
+  if (!config_.classes.contains(enqueue.message_class)) {
+    return server_.Reply(connection, command, "-ERR unknown class\r\n");
+  }
+  if (!enqueue.tenant.empty() && !config_.tenants.contains(enqueue.tenant)) {
+    return server_.Reply(connection, command, "-ERR unknown tenant\r\n");
+  }
+  state::ClientMessage event;
+  event.client = {connection, command};
+  state::Taken& message = event.message;
+  message.id = std::move(enqueue.id);
+  message.message_class = std::move(enqueue.message_class);
+  message.tenant = std::move(enqueue.tenant);
+  message.idempotency_key = std::move(enqueue.idempotency_key);
+  message.order_key = std::move(enqueue.order_key);
+  message.body = std::move(enqueue.body);
+  message.destination = enqueue.destination;
+  message.give_up_at = loop_.Now() + enqueue.time_left;
+  Push(std::move(event));
+}
+
+void Node::OnClientGone(std::uint64_t connection) { Push(state::ClientGone{connection}); }
+
+void Node::OnMembers(net::MemberNews news) {
+  for (const std::string& skipped : news.skipped) log_.Warn("list {}: skipped {}", news.version, skipped);
+  state::ListNews event;
+  event.whole = news.whole;
+  for (net::Member& member : news.members) {
+    state::Listed listed;
+    listed.endpoint.id = std::move(member.host);
+    listed.endpoint.zone = NumberOf(config_.zones, member.site);
+    listed.endpoint.kind = NumberOf(config_.kinds, member.kind);
+    listed.endpoint.destination = member.block;
+    listed.endpoint.state = member.health == net::Health::kReady         ? EndpointState::kReady
+                            : member.health == net::Health::kTerminating ? EndpointState::kDraining
+                                                                         : EndpointState::kGone;
+    listed.dial = std::move(member.dial);
+    event.entries.push_back(std::move(listed));
+  }
+  Push(std::move(event));
+}
+
+void Node::OnWatchLost(std::string_view reason) {
+  log_.Warn("the watch of the list was lost: {}", reason);
+  Push(state::ListLost{});
+}
+
+void Node::OnNoticesTaken(const std::vector<std::uint64_t>& serials) { Push(state::NoticesTaken{serials}); }
+
+void Node::OnNoticeUnreadable(std::string_view line) { log_.Error("a notice is not readable: {}", line); }
+
+void Node::OnCallEnded(const net::CallResult& result) {
+  ++endings_[static_cast<std::size_t>(result.ending)];
+  Push(state::CallEnded{result.serial, result.ending, result.latency, result.wait, result.load});
+}
+
+}  // namespace indigosaddle::node
--- /dev/null
+++ b/src/node/node.h
@@ -0,0 +1,85 @@
+// The delivery node: feeds what comes from the sockets to the reducer and the module in turns, and carries
+// out the effects that the reducer asks for. Nothing is decided here.
+#pragma once
+
+#include <array>
+#include <deque>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "brain.h"
+#include "net/call_pool.h"
+#include "net/discovery.h"
+#include "net/loop.h"
+#include "net/notices.h"
+#include "net/resp_server.h"
+#include "node/config.h"
+#include "node/journal_file.h"
+#include "node/logger.h"
+#include "state/reducer.h"
+
+namespace indigosaddle::node {
+
+class Node : private Host,
+             private net::RespServer::Handler,
+             private net::Discovery::Handler,
+             private net::Notices::Handler {
+ public:
+  Node(net::Loop& loop, Config config, Logger& log);
+  ~Node() override;
+
+  bool Start();  // false: it can't serve, and has said why
+  void Stop();   // ends the loop when all that was read is answered, before a kill would come
+
+ private:
+  // Host: the module's decisions, as events of the turn.
+  void Send(MessageId id, const EndpointId& endpoint, Micros timeout) override;
+  void Refuse(MessageId id, Micros not_before) override;
+  void Fail(MessageId id) override;
+  void SetTimer(Micros at) override;
+  void Watch() override;
+  void CloseIdle(const EndpointId& endpoint) override;
+
+  // What the sockets bring.
+  void OnEnqueue(std::uint64_t connection, std::uint64_t command, net::Enqueue enqueue) override;
+  void OnClientGone(std::uint64_t connection) override;
+  void OnMembers(net::MemberNews news) override;
+  void OnWatchLost(std::string_view reason) override;
+  void OnNoticesTaken(const std::vector<std::uint64_t>& serials) override;
+  void OnNoticeUnreadable(std::string_view line) override;
+  void OnCallEnded(const net::CallResult& result);
+
+  void Push(state::Event event);
+  void RunTurn();
+  void Reduce(const state::Event& event);
+  void Carry(state::Effect& effect);
+  void Write(bool ok);
+  void LeaveClients();
+  void Finish();
+  void Report();
+
+  net::Loop& loop_;
+  Config config_;
+  Logger& log_;
+  JournalFile journal_;
+  state::State state_;
+  std::unique_ptr<Brain> brain_;
+  net::CallPool pool_;
+  net::RespServer server_;
+  net::Discovery discovery_;
+  net::Notices notices_;
+  net::Timer turn_timer_, later_timer_, leave_timer_, finish_timer_, report_timer_;
+  uv_prepare_t prepare_{};
+  uv_check_t check_{};
+  uv_idle_t idle_{};  // runs while events wait: the loop must not sleep then
+  std::deque<state::Event> events_;
+  std::vector<state::Event> decisions_;  // of the present turn
+  state::Effects later_;                 // told to the module when a failed journal write is tried again
+  bool turn_due_ = false, in_turn_ = false, stopping_ = false, journal_failed_ = false;
+  Micros now_{0};
+  std::array<std::uint64_t, static_cast<std::size_t>(state::kLastEnding) + 1> endings_{};
+  std::uint64_t taken_ = 0, busy_ = 0, failed_ = 0;
+};
+
+}  // namespace indigosaddle::node
--- /dev/null
+++ b/src/state/journal.h
@@ -0,0 +1,62 @@
+// The format of the journal folder: a write-ahead log of records, each with its length and checksum. Bytes
+// in, records out; reading and writing the file is the node's part (src/node/journal_file.h).
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <variant>
+#include <vector>
+
+#include "brain.h"
+
+namespace indigosaddle::state {
+
+using Serial = std::uint64_t;  // a message's number in this node: its MessageId at the module
+
+// A message was taken on. Id, keys and body stay the bytes that came.
+struct Taken {
+  Serial serial = 0;
+  std::string id, message_class, tenant, idempotency_key, order_key, body;
+  std::uint64_t destination = 0;
+  Micros give_up_at{0};
+};
+struct Attempted {  // written before the call's last byte can leave
+  Serial serial = 0;
+  std::string endpoint;
+  int zone = 0;
+  Micros at{0};
+};
+struct Settled {  // how the attempt that was out ended
+  Serial serial = 0;
+  Result result = Result::kReset;
+};
+enum class End : std::uint8_t { kNothingOwed, kFailed, kReturned };
+struct Ended {  // the message is over; a notice is owed unless the end is kNothingOwed
+  Serial serial = 0;
+  End end = End::kNothingOwed;
+  Micros not_before{0};  // with kReturned
+};
+struct Noticed {  // the platform has the notice
+  Serial serial = 0;
+};
+struct Resumed {  // all attempts so far, in a rewritten journal
+  Serial serial = 0;
+  Past past;
+};
+using Record = std::variant<Taken, Attempted, Settled, Ended, Noticed, Resumed>;
+
+constexpr std::size_t kMostRecordBytes = 1 << 18;  // longer lengths are rubbish
+
+std::string JournalHead();
+void AppendRecord(std::string& journal, const Record& record);
+std::size_t RecordBytes(const Record& record);
+
+struct ReadJournal {
+  std::vector<Record> records;
+  std::size_t read = 0;  // bytes that were good
+  std::string trouble;   // empty: the whole journal was read
+};
+ReadJournal ParseJournal(std::string_view bytes);
+
+}  // namespace indigosaddle::state
--- /dev/null
+++ b/src/state/reducer.h
@@ -0,0 +1,192 @@
+// What the node keeps in memory, and the one function that changes it: from state and event to state and
+// effects, with no I/O and no clock. Effects are carried out by src/node/node.cpp, in the order given.
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <unordered_map>
+#include <variant>
+#include <vector>
+
+#include "brain.h"
+#include "state/ending.h"
+#include "state/journal.h"
+
+namespace indigosaddle::state {
+
+// One command of one client's connection, whose reply is still owed.
+struct ClientRef {
+  std::uint64_t connection = 0, command = 0;
+  friend bool operator==(const ClientRef&, const ClientRef&) = default;
+};
+
+// An entry of discovery's list, as the module and the calls need it.
+struct Listed {
+  Endpoint endpoint;
+  std::string dial;
+};
+
+// ---- Events ---------------------------------------------------------------------------------------------
+
+struct Recovered {  // first: what the journal folder held, and from where numbers go on
+  std::vector<Record> records;
+  Micros now{0};
+};
+struct ClientMessage {
+  ClientRef client;
+  Taken message;  // its serial is given by the reducer
+  int message_class = 0, tenant = 0;
+};
+struct ClientGone {
+  std::uint64_t connection = 0;
+};
+struct ListNews {
+  std::vector<Listed> entries;
+  bool whole = false;
+};
+struct ListLost {};
+struct CallEnded {
+  Serial serial = 0;
+  Ending ending = Ending::kNotStarted;
+  Micros latency{0}, wait{0};
+  LoadReport load;
+};
+struct NoticesTaken {  // answered by the platform: nothing more is owed for these
+  std::vector<Serial> serials;
+};
+struct StopAsked {
+  Micros ends_at{0};
+};
+struct WantsSend {  // these six are the module's decisions
+  Serial serial = 0;
+  EndpointId endpoint;
+  Micros timeout{0}, now{0};
+};
+struct WantsRefusal {
+  Serial serial = 0;
+  Micros not_before{0};
+};
+struct WantsFailure {
+  Serial serial = 0;
+};
+struct WantsTimer {
+  Micros at{0};
+};
+struct WantsWatch {};
+struct WantsIdleClosed {
+  EndpointId endpoint;
+};
+struct TurnEnded {};
+struct JournalWritten {
+  bool ok = false;
+};
+using Event = std::variant<Recovered, ClientMessage, ClientGone, ListNews, ListLost, CallEnded, NoticesTaken,
+                           StopAsked, WantsSend, WantsRefusal, WantsFailure, WantsTimer, WantsWatch,
+                           WantsIdleClosed, TurnEnded, JournalWritten>;
+
+// ---- Effects --------------------------------------------------------------------------------------------
+
+struct TellMessage {
+  Message message;
+};
+struct TellWithdrawn {
+  MessageId id = 0;
+};
+struct TellOutcome {
+  Outcome outcome;
+};
+struct TellList {
+  std::vector<Endpoint> entries;
+  bool whole = false;
+};
+struct TellListLost {};
+struct TellStop {
+  Micros at{0};
+};
+struct AppendJournal {  // answered by JournalWritten
+  std::string bytes;
+};
+struct RewriteJournal {  // the same, in place of all that the journal holds
+  std::string bytes;
+};
+enum class Answer : std::uint8_t { kTaken, kBusy, kFailed };
+struct Reply {
+  ClientRef client;
+  Answer answer = Answer::kFailed;
+  Micros not_before{0};  // with kBusy
+};
+struct StartCall {  // answered by CallEnded
+  Serial serial = 0;
+  EndpointId endpoint;
+  std::string dial;
+  std::string id, idempotency_key, body;
+  Micros timeout{0};
+};
+struct Notice {
+  Serial serial = 0;
+  std::string id;
+  End end = End::kFailed;
+  Micros not_before{0};
+};
+struct PostNotices {  // answered by NoticesTaken, however long that takes
+  std::vector<Notice> notices;
+};
+struct ArmTimer {
+  Micros at{0};
+};
+struct RenewWatch {};
+struct CloseIdle {
+  std::string dial;
+};
+struct Note {  // for the log
+  std::string text;
+};
+using Effect =
+    std::variant<TellMessage, TellWithdrawn, TellOutcome, TellList, TellListLost, TellStop, AppendJournal,
+                 RewriteJournal, Reply, StartCall, PostNotices, ArmTimer, RenewWatch, CloseIdle, Note>;
+using Effects = std::vector<Effect>;
+
+// ---- State ----------------------------------------------------------------------------------------------
+
+struct Limits {                                 // what the settings and the machine allow
+  std::size_t most_open = 0;                    // messages held; 0: not limited
+  std::size_t journal_bytes = 0;                // for the folder, with a rewrite in progress counted
+  std::map<std::string, int> classes, tenants;  // numbers of the names in the settings
+};
+
+struct Owed {
+  Taken taken;
+  Past past;
+  bool out = false;                     // a call
+  int out_zone = 0, attempts_made = 0;  // attempts_made: in this process
+  Micros sent{0};
+  EndpointId endpoint;
+  std::optional<Ended> ended;           // kept while its notice is owed or its call is out
+  std::optional<ClientRef> unanswered;  // taken in the present turn
+  std::size_t room = 0;                 // journal bytes set aside for it
+};
+
+struct State {
+  explicit State(Limits told) : limits(std::move(told)) {}
+
+  Limits limits;
+  std::map<Serial, Owed> owed;
+  std::unordered_map<std::string, Serial> by_id;  // messages not over
+  std::map<EndpointId, Listed> listed;
+  Serial last_serial = 0;
+  std::size_t journal_size = 0, room = 0;  // bytes in the file; set aside for all that is owed
+  bool rewrite_due = false;                // the file may be damaged
+  std::vector<Serial> fresh;               // taken in the present turn
+  std::string staged;                      // records of the present turn
+  Effects after_write;                     // what must wait for them
+  std::map<Serial, Notice> notices;        // not yet with the platform
+  bool notices_out = false;
+
+  std::size_t open() const { return by_id.size(); }
+};
+
+void Reduce(State& state, const Event& event, Effects& effects);
+
+}  // namespace indigosaddle::state
