--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -116,8 +116,7 @@
   Destination* home = nullptr;
   Lane own;       // where routes are apart
   Health health;  // its own: bounds calls where the lane is shared, ranks the endpoint everywhere
-  int out = 0;
-  int explained = 0;  // failures in a row that need no outage
+  int out = 0, explained = 0;  // explained: failures in a row that need no outage
   std::uint64_t last_call = 0;
   std::vector<Micros> idle;  // connections believed idle, by the time they became so
 };
@@ -140,11 +139,10 @@
   Message message;
   const ClassSettings* c = nullptr;
   Destination* home = nullptr;
-  Past past;
   bool over_share = false, out = false;
   bool ended = false;  // answered; kept only while an attempt is out
-  std::uint64_t call = 0;
   int timeouts = 0;
+  std::uint64_t call = 0;
 };
 
 struct KeyTurn {
@@ -155,8 +153,7 @@
 class Impl final : public Brain {
  public:
   Impl(Settings settings, Host& host) : set_(std::move(settings)), host_(host) {
-    set_.senders = std::max(1, set_.senders);
-    random_.seed(set_.seed);
+    set_.senders = std::max(1, set_.senders), random_.seed(set_.seed);
     watch_due_ = set_.discovery == Discovery::kOnRequest ? Micros::min() : Micros::max();
   }
 
@@ -166,10 +163,9 @@
   }
 
   void OnList(const std::vector<Endpoint>& entries, bool whole) override {
-    for (auto& [id, destination] : destinations_) {
-      if (!whole) break;
-      for (Route& route : destination.routes) route.endpoint.state = EndpointState::kGone;
-    }
+    for (auto& [id, home] : destinations_)
+      for (Route& route : home.routes)
+        route.endpoint.state = whole ? EndpointState::kGone : route.endpoint.state;
     for (const Endpoint& entry : entries) {
       Destination& home = destinations_[entry.destination];
       Route* route = Find(home, entry.id);
@@ -183,8 +179,8 @@
 
   // The watch may or may not stand: ask anew, well before an old list counts as told (rule 3).
   void OnListFailed() override {
-    if (set_.discovery != Discovery::kOnRequest) return;
-    watch_due_ = std::min(watch_due_, now_ + std::max<Micros>(set_.must_ask_in / 4, kMoment));
+    const Micros due = now_ + std::max<Micros>(set_.must_ask_in / 4, kMoment);
+    if (set_.discovery == Discovery::kOnRequest) watch_due_ = std::min(watch_due_, due);
   }
 
   void OnMessage(const Message& message) override {
@@ -192,18 +188,15 @@
     if (!is_new) return;
     Held& held = it->second;
     held.message = message;
-    held.past = message.past;
     const auto index = static_cast<std::size_t>(message.message_class);
     held.c = index < set_.classes.size() ? &set_.classes[index] : &unknown_;
     held.home = &destinations_[message.destination];
     ++held.home->held;
     held.over_share = TakeShare(message.tenant);
-    if (InTurn(held)) {
-      KeyTurn& turn = keys_[message.key];
-      turn.order.push_back(message.id);
-      if (held.past.may_have_run) turn.rest_until = now_ + set_.turn_gap;  // cut off by a restart: may run on
-    }
     ++open_;
+    if (!InTurn(held)) return;
+    keys_[message.key].order.push_back(message.id);
+    if (message.past.may_have_run) keys_[message.key].rest_until = now_ + set_.turn_gap;  // may run on
   }
 
   void OnOutcome(const Outcome& outcome) override;
@@ -254,8 +247,7 @@
 
   bool InTurn(const Held& held) const { return held.c->sequential && !held.message.key.empty(); }
 
-  // True if the tenant is past its share here: an even part of its quota, or this sender's part of all
-  // quotas.
+  // Whether the tenant is past its share here: an even part of its quota, or this sender's part of all.
   bool TakeShare(int tenant) {
     const auto index = static_cast<std::size_t>(tenant);
     if (index >= set_.tenants.size() || set_.tenants[index].quota_per_second <= 0) return false;
@@ -269,8 +261,8 @@
 
   // When the key of a message that may have run is no longer sure to be remembered.
   Micros RepeatUntil(const Held& held) const {
-    if (!held.past.may_have_run || held.c->effect != Effect::kKeyed) return Micros::max();
-    return held.past.first_run + ToMicros(Seconds(held.c->key_ttl) * kKeyLifeUsed);
+    if (!held.message.past.may_have_run || held.c->effect != Effect::kKeyed) return Micros::max();
+    return held.message.past.first_run + ToMicros(Seconds(held.c->key_ttl) * kKeyLifeUsed);
   }
 
   // Worth of an answer that comes `ahead` from now.
@@ -291,8 +283,8 @@
   // risk.
   double Claim(const Held& held) const {
     const double loss = Worth(held, Micros(0)) - Worth(held, held.c->aim);
-    const bool risked = held.past.may_have_run || held.c->effect == Effect::kSafe;
-    return std::ldexp(loss, -std::max(0, held.past.attempts - (risked ? kRiskedCredit : 0)));
+    const bool risked = held.message.past.may_have_run || held.c->effect == Effect::kSafe;
+    return std::ldexp(loss, -std::max(0, held.message.past.attempts - (risked ? kRiskedCredit : 0)));
   }
 
   // ---- The guard: rules 1 and 2 for answers, 1 to 6 for sends -------------------------------------------
@@ -300,7 +292,7 @@
   // Rule 2: a refusal promises that handing in again is harmless.
   bool MayRefuse(const Held& held) const {
     const bool drops_repeats = held.c->effect == Effect::kKeyed && held.c->group == Group::kAll;
-    return !held.out && (!held.past.may_have_run || held.c->effect == Effect::kSafe || drops_repeats);
+    return !held.out && (!held.message.past.may_have_run || held.c->effect == Effect::kSafe || drops_repeats);
   }
 
   // Rule 1: the one place where a final answer is given.
@@ -313,8 +305,8 @@
   // Rules 1 and 2: whether another attempt may be made at all.
   bool MayAttempt(const Held& held) const {
     if (held.ended || held.out || now_ >= held.message.give_up_at) return false;
-    if (set_.max_attempts > 0 && held.past.attempts >= set_.max_attempts) return false;
-    if (!held.past.may_have_run || held.c->effect == Effect::kSafe) return true;
+    if (set_.max_attempts > 0 && held.message.past.attempts >= set_.max_attempts) return false;
+    if (!held.message.past.may_have_run || held.c->effect == Effect::kSafe) return true;
     return held.c->effect == Effect::kKeyed && held.c->group != Group::kCell && now_ <= RepeatUntil(held);
   }
 
@@ -322,7 +314,8 @@
   bool HasTurn(const Held& held) const {
     if (!InTurn(held)) return true;
     const KeyTurn& turn = keys_.at(held.message.key);  // kept while a message of the key is held
-    return turn.order.front() == held.message.id && (held.past.attempts > 0 || now_ >= turn.rest_until);
+    return turn.order.front() == held.message.id &&
+           (held.message.past.attempts > 0 || now_ >= turn.rest_until);
   }
 
   // Rules 3, 4 and 6 for a call to this endpoint.
@@ -340,8 +333,8 @@
   bool MaySend(const Held& held, const Route& route, const Lane& lane, bool joins = false) const {
     if (!MayAttempt(held) || !HasTurn(held)) return false;
     const bool bound =
-        held.past.may_have_run && held.c->effect == Effect::kKeyed && held.c->group == Group::kZone;
-    if (bound && route.endpoint.zone != held.past.run_zone) return false;
+        held.message.past.may_have_run && held.c->effect == Effect::kKeyed && held.c->group == Group::kZone;
+    if (bound && route.endpoint.zone != held.message.past.run_zone) return false;
     return route.home == held.home && MayCall(route, lane, joins);
   }
 
@@ -458,8 +451,7 @@
     Fill(bucket);
     const double step = kStepShare * Limit(lane) / set_.senders;
     bucket.rate = std::min(std::max(Limit(lane), bucket.rate), bucket.rate + step);
-    bucket.stepped = now_;
-    bucket.waited = false;
+    bucket.stepped = now_, bucket.waited = false;
   }
 
   double Tokens(Lane& lane) {
@@ -516,15 +508,13 @@
   // Rule 1 at the deadline, and at once for what can no longer be delivered.
   void AnswerWhatIsOver() {
     for (auto& [id, held] : held_) {
-      const bool over =
-          held.out ? now_ >= held.message.give_up_at + set_.tick : !MayAttempt(held) || !CanStillArrive(held);
-      if (over) Answer(held, Micros(0));
+      const bool overdue = now_ >= held.message.give_up_at + set_.tick;
+      if (held.out ? overdue : !MayAttempt(held) || !CanStillArrive(held)) Answer(held, Micros(0));
     }
   }
 
   bool CanStillArrive(const Held& held) {
-    const Micros left = held.message.give_up_at - now_;
-    if (left <= 2 * set_.tick) return false;
+    if (held.message.give_up_at - now_ <= 2 * set_.tick) return false;
     std::vector<Route>& routes = held.home->routes;  // none: the list may be behind
     return routes.empty() || std::any_of(routes.begin(), routes.end(), [&](Route& route) {
              return LaneOf(route).pause_until < held.message.give_up_at;
@@ -592,15 +582,13 @@
 
   // Before a stop: only what should end by then. What the stop cuts off may have run.
   bool EndsInTime(const Held& held, const Lane& lane) const {
-    const bool unsure = lane.mean <= 0 || held.c->effect == Effect::kUnsafe;
-    const Micros needs = unsure ? Timeout(held, lane) : ToMicros(lane.mean + 2 * lane.deviation);
-    return stop_at_ == Micros::max() || now_ + needs <= stop_at_;
+    const bool sure = lane.mean > 0 && held.c->effect != Effect::kUnsafe;
+    return stop_at_ - now_ >= (sure ? ToMicros(lane.mean + 2 * lane.deviation) : Timeout(held, lane));
   }
 
   bool HasRoom(const Held& held, const Route& route, Lane& lane) {
-    if (!EndsInTime(held, lane)) return false;
     if (set_.call_slots > 0 && static_cast<int>(calls_.size()) >= set_.call_slots) return false;
-    if (!MaySend(held, route, lane)) return false;
+    if (!MaySend(held, route, lane) || !EndsInTime(held, lane)) return false;
     const bool trial = lane.health.phase == Phase::kTrial;
     const int half = set_.call_slots > 0 ? std::max(2, (set_.call_slots + 1) / 2) : lane.out + 1;
     if (lane.out >= (!trial ? half : InDoubt(lane.health) ? 2 : 1)) return false;  // no lane takes all slots
@@ -633,7 +621,7 @@
     ++call->messages;
     Log(route, lane, joins ? kExtraItemWeight : 1);
     held.out = true;
-    ++held.past.attempts;
+    ++held.message.past.attempts;
     host_.Send(held.message.id, route.endpoint.id, Timeout(held, lane));
   }
 
@@ -647,7 +635,7 @@
   bool Crowded(const Route& route) { return crowded_[route.endpoint.kind] > kCrowdedShare; }
 
   // Against idle connections dropped unseen on the way (a reaper, a restarted proxy): calls on them are lost,
-  // on new ones not. Counted against old ones that still answer, so that a hang of less than half the traffic
+  // on new ones not. Counted against old ones that still answer, so that a hang of under half the traffic
   // does not count.
   void JudgeConnection(const Call& call, const Route& route, Result result, bool was_well) {
     const bool lost = result == Result::kTimeout || result == Result::kReset;
@@ -665,21 +653,18 @@
 
   void Pump() {
     std::vector<std::tuple<double, Micros, MessageId, Held*>> waiting;
-    for (auto& [id, held] : held_) {
+    for (auto& [id, held] : held_)
       if (MayAttempt(held)) waiting.emplace_back(-Claim(held), held.message.give_up_at, id, &held);
-    }
     std::sort(waiting.begin(), waiting.end());
-    for (const auto& [claim, give_up_at, id, held] : waiting) {
+    for (const auto& [claim, give_up_at, id, held] : waiting)
       if (Route* route = Choose(*held)) SendTo(*held, *route);
-    }
   }
 
   void ArmTimer() {
     Micros next = watch_due_;
-    for (const auto& [id, held] : held_) {
+    for (const auto& [id, held] : held_)
       if (!held.ended)
         next = std::min(next, held.out ? held.message.give_up_at + set_.tick : now_ + kRecheck);
-    }
     if (next >= timer_) return;
     timer_ = std::max(next, now_);
     host_.SetTimer(timer_);
@@ -718,10 +703,10 @@
   const bool ok = result == Result::kOk;
   const bool may_run_on =
       result == Result::kTimeout || result == Result::kReset || result == Result::kCancelled;
-  if ((may_run_on || result == Result::kError) && !held.past.may_have_run) {
-    held.past.may_have_run = true;
-    held.past.first_run = call.sent;
-    held.past.run_zone = route.endpoint.zone;
+  if ((may_run_on || result == Result::kError) && !held.message.past.may_have_run) {
+    held.message.past.may_have_run = true;
+    held.message.past.first_run = call.sent;
+    held.message.past.run_zone = route.endpoint.zone;
   }
   if (result == Result::kTimeout) ++held.timeouts;
   if (InTurn(held) && may_run_on) keys_[held.message.key].rest_until = now_ + set_.turn_gap;
@@ -734,8 +719,8 @@
     JudgeConnection(call, route, result, lane.health.bad_run == 0);
     // Against taking a limit for an outage where a sender calls now and then: a refusal with a told limit in
     // use, a failed connect at a crowded kind. A run of them is not believed.
-    const bool told = outcome.load.limit > 0 && outcome.load.left >= 0;
-    const bool limit = result == Result::kFull && told && outcome.load.left < kLimitInUse;
+    const bool in_use = outcome.load.limit > 0 && outcome.load.left >= 0 && outcome.load.left < kLimitInUse;
+    const bool limit = result == Result::kFull && in_use;
     const bool explained = limit || (result == Result::kNoConnection && Crowded(route));
     route.explained = explained ? route.explained + 1 : 0;
     if (!explained || route.explained > (limit ? 1 : kFullTableRun) || lane.health.phase == Phase::kTrial) {
--- a/src/net/resp_server.cpp
+++ b/src/net/resp_server.cpp
@@ -1,5 +1,7 @@
 #include "net/resp_server.h"
 
+#include <fmt/format.h>
+
 #include <algorithm>
 #include <cctype>
 #include <deque>
@@ -86,10 +88,9 @@
 
   void Run(const std::vector<std::string>& command) {
     if (Is(command[0], "PING")) {
-      replies_.back() = command.size() > 2 ? "-ERR PING takes at most one word\r\n"
-                        : command.size() == 2
-                            ? "$" + std::to_string(command[1].size()) + "\r\n" + command[1] + "\r\n"
-                            : "+PONG\r\n";
+      replies_.back() = command.size() > 2    ? "-ERR PING takes at most one word\r\n"
+                        : command.size() == 2 ? fmt::format("${}\r\n{}\r\n", command[1].size(), command[1])
+                                              : "+PONG\r\n";
       return;
     }
     if (!Is(command[0], "ENQUEUE")) {
@@ -187,11 +188,11 @@
   if (at.ss_family == AF_INET6) {
     const auto& v6 = reinterpret_cast<const sockaddr_in6&>(at);
     uv_ip6_name(&v6, text, sizeof text);
-    return "[" + std::string(text) + "]:" + std::to_string(ntohs(v6.sin6_port));
+    return fmt::format("[{}]:{}", text, ntohs(v6.sin6_port));
   }
   const auto& v4 = reinterpret_cast<const sockaddr_in&>(at);
   uv_ip4_name(&v4, text, sizeof text);
-  return std::string(text) + ":" + std::to_string(ntohs(v4.sin_port));
+  return fmt::format("{}:{}", text, ntohs(v4.sin_port));
 }
 
 void RespServer::StopListening() {
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -185,53 +185,49 @@
   later_timer_.Start(kJournalAgain);
 }
 
+// ---- Effects --------------------------------------------------------------------------------------------
+
 void Node::Carry(state::Effect& effect) {
-  using namespace state;
-  if (auto* e = std::get_if<TellMessage>(&effect)) {
-    brain_->OnMessage(e->message);
-  } else if (auto* e = std::get_if<TellWithdrawn>(&effect)) {
-    brain_->OnWithdrawn(e->id);
-  } else if (auto* e = std::get_if<TellOutcome>(&effect)) {
-    brain_->OnOutcome(e->outcome);
-  } else if (auto* e = std::get_if<TellList>(&effect)) {
-    brain_->OnList(e->entries, e->whole);
-  } else if (std::holds_alternative<TellListLost>(effect)) {
-    brain_->OnListFailed();
-  } else if (auto* e = std::get_if<TellStop>(&effect)) {
-    brain_->OnStop(e->at);
-  } else if (auto* e = std::get_if<AppendJournal>(&effect)) {
-    Write(journal_.Append(e->bytes));
-  } else if (auto* e = std::get_if<RewriteJournal>(&effect)) {
-    Write(journal_.Rewrite(e->bytes));
-  } else if (auto* e = std::get_if<state::Reply>(&effect)) {
-    std::string line = "-ERR failed\r\n";
-    if (e->answer == Answer::kTaken) line = "+OK\r\n";
-    if (e->answer == Answer::kBusy) {
-      const auto millis = std::chrono::ceil<milliseconds>(e->not_before).count();
-      line = millis > 0 ? fmt::format("-BUSY {}\r\n", millis) : "-BUSY\r\n";
-    }
-    ++(e->answer == Answer::kTaken ? taken_ : e->answer == Answer::kBusy ? busy_ : failed_);
-    server_.Reply(e->client.connection, e->client.command, std::move(line));
-  } else if (auto* e = std::get_if<StartCall>(&effect)) {
-    pool_.Start({e->serial, std::move(e->dial), std::move(e->endpoint), std::move(e->id),
-                 std::move(e->idempotency_key), std::move(e->body), e->timeout});
-  } else if (auto* e = std::get_if<PostNotices>(&effect)) {
-    std::vector<net::NoticeLine> lines;
-    for (const Notice& notice : e->notices) {
-      lines.push_back({notice.serial, notice.end == End::kReturned
-                                          ? net::FormatReturned(notice.id, notice.not_before)
-                                          : net::FormatFailed(notice.id)});
-    }
-    notices_.Post(std::move(lines));
-  } else if (auto* e = std::get_if<ArmTimer>(&effect)) {
-    turn_timer_.Start(std::max(Micros(0), e->at - loop_.Now()));
-  } else if (std::holds_alternative<RenewWatch>(effect)) {
-    discovery_.Renew();
-  } else if (auto* e = std::get_if<state::CloseIdle>(&effect)) {
-    pool_.CloseIdle(e->dial);
-  } else if (auto* e = std::get_if<Note>(&effect)) {
-    log_.Info("{}", e->text);
+  std::visit([this](auto& e) { Do(e); }, effect);
+}
+
+void Node::Do(state::TellMessage& e) { brain_->OnMessage(e.message); }
+void Node::Do(state::TellWithdrawn& e) { brain_->OnWithdrawn(e.id); }
+void Node::Do(state::TellOutcome& e) { brain_->OnOutcome(e.outcome); }
+void Node::Do(state::TellList& e) { brain_->OnList(e.entries, e.whole); }
+void Node::Do(state::TellListLost&) { brain_->OnListFailed(); }
+void Node::Do(state::TellStop& e) { brain_->OnStop(e.at); }
+void Node::Do(state::AppendJournal& e) { Write(journal_.Append(e.bytes)); }
+void Node::Do(state::RewriteJournal& e) { Write(journal_.Rewrite(e.bytes)); }
+void Node::Do(state::ArmTimer& e) { turn_timer_.Start(std::max(Micros(0), e.at - loop_.Now())); }
+void Node::Do(state::RenewWatch&) { discovery_.Renew(); }
+void Node::Do(state::CloseIdle& e) { pool_.CloseIdle(e.dial); }
+void Node::Do(state::Note& e) { log_.Info("{}", e.text); }
+
+void Node::Do(state::Reply& e) {
+  std::string line = "-ERR failed\r\n";
+  if (e.answer == state::Answer::kTaken) line = "+OK\r\n";
+  if (e.answer == state::Answer::kBusy) {
+    const auto millis = std::chrono::ceil<milliseconds>(e.not_before).count();
+    line = millis > 0 ? fmt::format("-BUSY {}\r\n", millis) : "-BUSY\r\n";
+  }
+  ++(e.answer == state::Answer::kTaken ? taken_ : e.answer == state::Answer::kBusy ? busy_ : failed_);
+  server_.Reply(e.client.connection, e.client.command, std::move(line));
+}
+
+void Node::Do(state::StartCall& e) {
+  pool_.Start({e.serial, std::move(e.dial), std::move(e.endpoint), std::move(e.id),
+               std::move(e.idempotency_key), std::move(e.body), e.timeout});
+}
+
+void Node::Do(state::PostNotices& e) {
+  std::vector<net::NoticeLine> lines;
+  for (const state::Notice& notice : e.notices) {
+    lines.push_back({notice.serial, notice.end == state::End::kReturned
+                                        ? net::FormatReturned(notice.id, notice.not_before)
+                                        : net::FormatFailed(notice.id)});
   }
+  notices_.Post(std::move(lines));
 }
 
 // ---- The module's decisions -----------------------------------------------------------------------------
