--- /dev/null
+++ b/examples/start.sh
@@ -0,0 +1,25 @@
+#!/bin/bash
+# Starts the toy world and a delivery node in front of it, until interrupted. EDGE_LISTEN and TOY_PORT move them
+# from the ports in config.json; 0 takes one that the kernel gives.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+program=${INDIGOSADDLE:-build/indigosaddle}
+[ -x "$program" ] || { echo "build it first: $program is not there"; exit 1; }
+work=$(mktemp -d)
+children=()
+trap 'kill "${children[@]}" 2> /dev/null; wait; rm -rf "$work"' EXIT
+
+python3 examples/toy_world.py "${TOY_PORT:-8500}" > "$work/world" &
+children+=($!)
+tail -n +1 -f "$work/world" &
+children+=($!)
+until grep -q '^discovery ' "$work/world"; do
+  kill -0 "${children[0]}" || exit 1
+  sleep 0.05
+done
+EDGE_DISCOVERY=$(sed -n 's/^discovery //p' "$work/world")
+mkdir "$work/state"
+export EDGE_DISCOVERY EDGE_CONFIG=examples/config.json EDGE_STATE="$work/state"
+"$program" &
+children+=($!)
+wait "${children[-1]}"
--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -207,6 +207,15 @@
 
   void OnStop(Micros at) override { stop_at_ = at; }
 
+  // A call whose connection took its time: what was told meanwhile (rules 1, 3 and 6) binds it still.
+  bool MayStillStart(MessageId id, Micros now) override {
+    const auto it = held_.find(id);
+    if (it == held_.end() || it->second.ended || !it->second.out) return false;
+    const Call& call = calls_.at(it->second.call);
+    Route& route = *Find(*call.home, call.endpoint);  // kept while a call is out
+    return route.endpoint.state == EndpointState::kReady && now >= LaneOf(route).pause_until;
+  }
+
   void OnTurnEnd() override {
     if (watch_due_ <= now_) {
       watch_due_ = Micros::max();
@@ -461,8 +470,7 @@
 
   void End(Held& held) {
     if (held.ended) return;
-    held.ended = true;
-    --open_;
+    held.ended = true, --open_;
     Release(held);
   }
 
@@ -607,8 +615,7 @@
       call = &calls_[route.last_call = ++last_call_];
       *call = {route.home, route.endpoint.id, now_};
       if (lane.bucket.bound) lane.bucket.tokens -= 1;
-      ++lane.out;
-      ++route.out;
+      ++lane.out, ++route.out;
       if (now_ < fresh_until_ && !route.idle.empty() && now_ - route.idle.back() >= stale_after_ / 2)
         Close(route);
       if (!route.idle.empty()) {
@@ -617,18 +624,14 @@
       }
     }
     held.call = route.last_call;
-    ++call->waiting;
-    ++call->messages;
+    ++call->waiting, ++call->messages;
     Log(route, lane, joins ? kExtraItemWeight : 1);
     held.out = true;
     ++held.message.past.attempts;
     host_.Send(held.message.id, route.endpoint.id, Timeout(held, lane));
   }
 
-  void Close(Route& route) {
-    route.idle.clear();
-    host_.CloseIdle(route.endpoint.id);
-  }
+  void Close(Route& route) { route.idle.clear(), host_.CloseIdle(route.endpoint.id); }
 
   // Against full connection tables: where connects fail at lanes that were well, connections of that kind are
   // given back after use, since idle ones of all senders take the places.
@@ -704,9 +707,7 @@
   const bool may_run_on =
       result == Result::kTimeout || result == Result::kReset || result == Result::kCancelled;
   if ((may_run_on || result == Result::kError) && !held.message.past.may_have_run) {
-    held.message.past.may_have_run = true;
-    held.message.past.first_run = call.sent;
-    held.message.past.run_zone = route.endpoint.zone;
+    held.message.past = {held.message.past.attempts, true, call.sent, route.endpoint.zone};
   }
   if (result == Result::kTimeout) ++held.timeouts;
   if (InTurn(held) && may_run_on) keys_[held.message.key].rest_until = now_ + set_.turn_gap;
@@ -739,8 +740,7 @@
     }
   }
   if (--call.waiting == 0) {
-    --lane.out;
-    --route.out;
+    --lane.out, --route.out;
     if (ok || result == Result::kFull || result == Result::kError) {
       route.idle.push_back(now_);
       freed_.emplace_back(call.home, call.endpoint);
--- a/src/brain.h
+++ b/src/brain.h
@@ -90,7 +90,7 @@
   std::string key;  // order key; empty: none
   Micros give_up_at{0};
   std::uint64_t destination = 0;
-  Past past;
+  Past past{};
 };
 
 enum class Result { kOk, kError, kFull, kTimeout, kNoConnection, kReset, kCancelled, kNotSent };
@@ -141,6 +141,8 @@
   virtual void OnWithdrawn(MessageId id) = 0;
   virtual void OnStop(Micros at) = 0;  // the process ends then; what is held is resumed after it
   virtual void OnTurnEnd() = 0;
+  // Between turns: whether a call that was sent, but waits for its connection, may still begin.
+  virtual bool MayStillStart(MessageId id, Micros now) = 0;
   virtual Footprint footprint() const = 0;
 };
 
--- a/src/net/call_pool.cpp
+++ b/src/net/call_pool.cpp
@@ -104,6 +104,7 @@
     if (error != 0) return End(error == UV_ECONNREFUSED ? Ending::kRefused : Ending::kNeverUp);
     up_ = true;
     if (stream_.StartReading() != 0) return End(Ending::kBrokenBeforeSent);
+    if (!pool_.may_start_(serial_)) return pool_.Finished(*this, Result_(Ending::kNotStarted), true);
     Send();
   }
 
@@ -173,9 +174,11 @@
   std::optional<Ending> failure_;  // known when the call began; told by the timer, never from within Start
 };
 
-CallPool::CallPool(Loop& loop, Limits limits, std::function<void(const CallResult&)> ended)
+CallPool::CallPool(Loop& loop, Limits limits, std::function<bool(std::uint64_t)> may_start,
+                   std::function<void(const CallResult&)> ended)
     : loop_(loop),
       limits_(limits),
+      may_start_(std::move(may_start)),
       ended_(std::move(ended)),
       sweep_(loop, [this] { CloseStale(); }),
       bury_(loop, [this] { buried_.clear(); }) {
--- a/src/net/call_pool.h
+++ b/src/net/call_pool.h
@@ -36,7 +36,9 @@
     std::size_t most_connections = 0;
   };
 
-  CallPool(Loop& loop, Limits limits, std::function<void(const CallResult&)> ended);
+  // `may_start` is asked when a new connection is up, before its call's first byte.
+  CallPool(Loop& loop, Limits limits, std::function<bool(std::uint64_t serial)> may_start,
+           std::function<void(const CallResult&)> ended);
   ~CallPool();
 
   void Start(const CallRequest& request);
@@ -57,6 +59,7 @@
 
   Loop& loop_;
   Limits limits_;
+  std::function<bool(std::uint64_t serial)> may_start_;
   std::function<void(const CallResult&)> ended_;
   std::map<Connection*, std::unique_ptr<Connection>> busy_;
   std::map<std::string, Idle> idle_;  // by address
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -45,8 +45,10 @@
       journal_(config_.state_folder),
       state_(LimitsOf(config_)),
       brain_(MakeBrain(config_.settings, *this)),
-      pool_(loop, {config_.connect_timeout, config_.settings.idle_close, Connections(config_.sockets)},
-            [this](const net::CallResult& result) { OnCallEnded(result); }),
+      pool_(
+          loop, {config_.connect_timeout, config_.settings.idle_close, Connections(config_.sockets)},
+          [this](std::uint64_t serial) { return brain_->MayStillStart(serial, loop_.Now()); },
+          [this](const net::CallResult& result) { OnCallEnded(result); }),
       server_(loop, *this, Connections(config_.sockets)),
       discovery_(loop, *this, config_.discovery),
       notices_(loop, *this, config_.discovery),
@@ -74,6 +76,7 @@
     log_.Error("the folder {} can't be used: {}", config_.state_folder, trouble);
     return false;
   }
+  log_.Info("{} bytes of journal found", bytes.size());
   if (!trouble.empty()) log_.Warn("journal: {}", trouble);
   state::ReadJournal old = state::ParseJournal(bytes);
   if (!old.trouble.empty()) {
--- /dev/null
+++ b/tests/node_parts_test.cpp
@@ -0,0 +1,187 @@
+// The node's parts that need no sockets: the configuration, and the journal's file in a folder of its own.
+#include <gtest/gtest.h>
+#include <sys/stat.h>
+#include <unistd.h>
+
+#include <cstdlib>
+#include <filesystem>
+#include <fstream>
+#include <iterator>
+#include <map>
+#include <string>
+
+#include "node/config.h"
+#include "node/journal_file.h"
+#include "state/journal.h"
+
+namespace indigosaddle::node {
+namespace {
+
+using std::chrono::milliseconds;
+
+const std::string kConfig = R"({"name":"n3","listen":"127.0.0.1:0","discovery":"127.0.0.1:8500",
+  "seed":"8c1f30d27a5be964","limits":{"cores":1.0,"memory_mb":192,"sockets":1024,"disk_mb":3},
+  "known":{"seq":41,"whole":true,"hosts":[]},
+  "settings":{"balancers":2,"tick":5.0,"discovery":"pushed",
+    "caps":{"attemptsCap":12,"dialTimeout":1500.0,"idleClose":15000.0,"maxOpen":165},
+    "classes":[{"name":"zone notice","aim":2500.0,"deadline":20000.0,"effect":"idempotency_key","group":"all",
+                "keyTtl":20000.0,"worth":1.0,"lateValue":0.4,"stream":false},
+               {"name":"b","effect":"non_idempotent"}],
+    "orgs":[{"name":"sir-gar","quotaRps":15.0}],
+    "familyInfo":{"callSlots":9,"perCall":[1,5],"separateRoutes":[false,true],"decay":"even",
+                  "notes":"full: milliseconds, 0 if none","zoneFee":[]},
+    "guarantees":{"coldFrom":0.23,"cold":14000.0,"fall":2000.0,"overloadFactor":2.0},
+    "machineTypes":["ordering-platforms","single-shops"],"zones":["carmarthen-dc"],"zone":0}})";
+const std::map<std::string, std::string> kEnvironment = {{"EDGE_STATE", "/state"}};
+
+std::string Edited(const std::string& from, const std::string& to) {
+  std::string text = kConfig;
+  const std::size_t at = text.find(from);
+  EXPECT_NE(at, std::string::npos) << from;
+  return text.replace(at, from.size(), to);
+}
+
+TEST(Config, ReadsTheSettingsAsTheSimulatorsAdapterDoes) {
+  const Config config = ReadConfig(kConfig, kEnvironment);
+  EXPECT_EQ(config.name, "n3");
+  EXPECT_EQ(config.settings.seed, 0x8c1f30d27a5be964u);
+  EXPECT_EQ(config.settings.senders, 2);
+  EXPECT_EQ(config.settings.call_slots, 9);
+  EXPECT_EQ(config.settings.max_open, 165);
+  EXPECT_EQ(config.settings.tick, milliseconds(5));
+  EXPECT_EQ(config.settings.idle_close, milliseconds(15000));
+  EXPECT_EQ(config.connect_timeout, milliseconds(1500));
+  ASSERT_EQ(config.settings.classes.size(), 2u);
+  EXPECT_EQ(config.settings.classes[0].effect, Effect::kKeyed);
+  EXPECT_EQ(config.settings.classes[0].group, Group::kAll);
+  EXPECT_EQ(config.settings.classes[0].key_ttl, milliseconds(20000));
+  EXPECT_EQ(config.settings.classes[1].effect, Effect::kUnsafe);
+  ASSERT_EQ(config.settings.kinds.size(), 2u);
+  EXPECT_TRUE(config.settings.kinds[1].separate_routes);
+  EXPECT_EQ(config.settings.kinds[1].per_call, 1);  // on the sockets
+  EXPECT_EQ(config.settings.cold_from, 0.23);
+  EXPECT_EQ(config.classes.at("zone notice"), 0);
+  EXPECT_EQ(config.classes.at("b"), 1);
+  EXPECT_EQ(config.tenants.at("sir-gar"), 0);
+  EXPECT_EQ(config.kinds.at("single-shops"), 1);
+  EXPECT_EQ(config.zones.at("carmarthen-dc"), 0);
+  EXPECT_EQ(config.disk_bytes, 3000000u);
+  EXPECT_EQ(config.sockets, 1024u);
+  EXPECT_NE(config.known, "");
+}
+
+TEST(Config, TheEnvironmentGoesBeforeTheFile) {
+  auto environment = kEnvironment;
+  environment["EDGE_NAME"] = "n9";
+  environment["EDGE_LISTEN"] = "127.0.0.2:77";
+  EXPECT_EQ(ReadConfig(kConfig, environment).name, "n9");
+  EXPECT_EQ(ReadConfig(kConfig, environment).listen, "127.0.0.2:77");
+}
+
+TEST(Config, SaysInOneLineWhatIsWrong) {
+  const std::map<std::string, std::string> bad = {
+      {"", "JSON"},
+      {"[]", "JSON"},
+      {Edited(R"("name":"n3",)", ""), "name"},
+      {Edited(R"("127.0.0.1:0")", R"("nowhere")"), "listen"},
+      {Edited(R"("127.0.0.1:8500")", "5"), "discovery"},
+      {Edited(R"("disk_mb":3)", R"("disk_mb":0)"), "disk_mb"},
+      {Edited(R"("sockets":1024,)", ""), "sockets"},
+      {Edited(R"("tick":5.0)", R"("tick":"soon")"), "tick"},
+      {Edited(R"("idempotency_key")", R"("sometimes")"), "effect"},
+      {Edited("8c1f30d27a5be964", "xyz"), "seed"},
+  };
+  for (const auto& [text, word] : bad) {
+    try {
+      ReadConfig(text, kEnvironment);
+      ADD_FAILURE() << "accepted: " << text;
+    } catch (const ConfigError& error) {
+      EXPECT_NE(std::string(error.what()).find(word), std::string::npos) << error.what();
+      EXPECT_EQ(std::string(error.what()).find('\n'), std::string::npos);
+    }
+  }
+  EXPECT_THROW(ReadConfig(kConfig, {}), ConfigError);  // no state folder
+  EXPECT_THROW(LoadConfig({}), ConfigError);
+  EXPECT_THROW(LoadConfig({{"EDGE_CONFIG", "/no/such/file"}}), ConfigError);
+}
+
+// ---- The journal's file ---------------------------------------------------------------------------------
+
+class JournalFolder : public ::testing::Test {
+ protected:
+  JournalFolder() {
+    std::string name = (std::filesystem::temp_directory_path() / "indigosaddle-XXXXXX").string();
+    folder_ = mkdtemp(name.data());
+  }
+  ~JournalFolder() override { std::filesystem::remove_all(folder_); }
+
+  std::string Read(std::size_t most = 1 << 20) {
+    JournalFile file(folder_);
+    std::string bytes;
+    EXPECT_TRUE(file.Read(most, bytes, trouble_));
+    return bytes;
+  }
+  void Put(const std::string& name, const std::string& bytes) {
+    std::ofstream(folder_ + "/" + name, std::ios::binary) << bytes;
+  }
+
+  std::string folder_, trouble_;
+};
+
+TEST_F(JournalFolder, AnEmptyFolderIsAStart) {
+  EXPECT_EQ(Read(), "");
+  EXPECT_EQ(trouble_, "");
+}
+
+TEST_F(JournalFolder, WhatWasWrittenIsThereInTheNextLife) {
+  {
+    JournalFile file(folder_);
+    EXPECT_FALSE(file.Append("too early"));
+    EXPECT_TRUE(file.Rewrite("one "));
+    EXPECT_TRUE(file.Append("two "));
+  }
+  EXPECT_EQ(Read(), "one two ");
+  {
+    JournalFile file(folder_);
+    EXPECT_TRUE(file.Rewrite("three "));
+    EXPECT_TRUE(file.Append("four"));
+  }
+  EXPECT_EQ(Read(), "three four");
+  EXPECT_EQ(Read(5), "three");
+}
+
+TEST_F(JournalFolder, ARewriteCutOffAtAnyStepLeavesTheOldJournal) {
+  const std::string old = state::JournalHead() + "old", fresh = state::JournalHead() + "newer";
+  for (std::size_t size = 0; size <= fresh.size(); ++size) {  // before the rename, at each byte
+    Put("journal", old);
+    Put("journal.new", fresh.substr(0, size));
+    trouble_.clear();
+    EXPECT_EQ(Read(), old);
+    EXPECT_NE(trouble_, "");
+    EXPECT_FALSE(std::filesystem::exists(folder_ + "/journal.new"));
+  }
+  Put("journal", fresh);  // after it
+  EXPECT_EQ(Read(), fresh);
+}
+
+TEST_F(JournalFolder, AFolderThatIsNoneIsAnError) {
+  Put("file", "");
+  JournalFile file(folder_ + "/file");
+  std::string bytes, trouble;
+  EXPECT_FALSE(file.Read(1000, bytes, trouble));
+  EXPECT_NE(trouble, "");
+  EXPECT_FALSE(file.Rewrite("x"));
+}
+
+TEST_F(JournalFolder, AFailedRewriteKeepsTheOldFileInUse) {
+  JournalFile file(folder_);
+  ASSERT_TRUE(file.Rewrite("one "));
+  std::filesystem::create_directory(folder_ + "/journal.new");  // in the way
+  EXPECT_FALSE(file.Rewrite("two "));
+  EXPECT_TRUE(file.Append("still"));
+  std::filesystem::remove(folder_ + "/journal.new");
+  EXPECT_EQ(Read(), "one still");
+}
+
+}  // namespace
+}  // namespace indigosaddle::node
--- /dev/null
+++ b/tests/node_test.cpp
@@ -0,0 +1,394 @@
+// The built program against stand-ins: what clients, endpoints, discovery and restarts see of it.
+#include <gtest/gtest.h>
+
+#include <set>
+#include <string>
+#include <vector>
+
+#include "stand_ins.h"
+
+namespace indigosaddle::testing {
+namespace {
+
+using Json = nlohmann::json;
+
+class NodeTest : public ::testing::Test {
+ protected:
+  NodeTest() : node(platform.address()) {}
+
+  std::string Enqueue(const std::string& id, const std::string& names, const std::string& body = "body") {
+    return ClientStandIn(node.port).Ask(ClientStandIn::Enqueue(id, names, body));
+  }
+  bool HasNotice(const std::string& id, const std::string& state) {
+    const auto notices = platform.notices();
+    const auto it = notices.find(id);
+    return it != notices.end() && it->second.front()["state"] == state;
+  }
+  // All that has an effect has shown by the time that a later message is through.
+  void Settle(const std::string& id = "settle") {
+    ASSERT_EQ(Enqueue(id, "c=safe,d=60000,dest=99"), "+OK");
+    ASSERT_TRUE(Eventually([&] { return settler.CallsFor(id) == 1; }));
+  }
+  void ListSettler() { platform.Set(PlatformStandIn::Member("settler", settler.address(), 99)); }
+
+  PlatformStandIn platform;
+  EndpointStandIn settler;
+  NodeProcess node;
+};
+
+TEST_F(NodeTest, AFirstMessageIsDeliveredAsItCame) {
+  EndpointStandIn endpoint;
+  platform.Set(PlatformStandIn::Member("s-1", endpoint.address(), 7));
+  ASSERT_TRUE(node.Start());
+  const std::string body("\0\r\n*1\r\n$5", 9);
+  EXPECT_EQ(Enqueue("9b1f03aa5c7e2d41", "c=keyed,d=8000,k=5c0f6e1a,dest=7", body), "+OK");
+  ASSERT_TRUE(Eventually([&] { return endpoint.CallsFor("9b1f03aa5c7e2d41") == 1; }));
+  const HttpRequest call = endpoint.calls()[0];
+  EXPECT_EQ(call.line, "POST /hook HTTP/1.1");
+  EXPECT_EQ(call.headers.at("idempotency-key"), "5c0f6e1a");
+  EXPECT_EQ(call.headers.at("x-expires-in").back(), 'm');
+  EXPECT_EQ(call.body, body);
+  EXPECT_TRUE(platform.notices().empty());
+}
+
+TEST_F(NodeTest, ConnectionsAreKeptForTheNextCall) {
+  EndpointStandIn endpoint;
+  platform.Set(PlatformStandIn::Member("s-1", endpoint.address(), 7));
+  ASSERT_TRUE(node.Start());
+  for (int i = 0; i < 30; ++i) {
+    const std::string id = "m" + std::to_string(i);
+    ASSERT_EQ(Enqueue(id, "c=keyed,d=8000,dest=7"), "+OK");
+    ASSERT_TRUE(Eventually([&] { return endpoint.CallsFor(id) == 1; }));
+  }
+  EXPECT_LT(endpoint.server().accepted, 30);  // the next message may come before an answer is read
+}
+
+// One row of the outcome table: what the first call meets, and what becomes of an unsafe message.
+struct Row {
+  const char* name;
+  EndpointStandIn::React first;
+  enum { kDeliveredByTheSecond, kFailedAfterOne, kOver } end;
+};
+
+class OutcomeTable : public NodeTest, public ::testing::WithParamInterface<Row> {};
+
+TEST_P(OutcomeTable, OfAnUnsafeMessage) {
+  const Row& row = GetParam();
+  EndpointStandIn endpoint([&](Socket& s, const HttpRequest& r, int number) {
+    return number == 1 ? row.first(s, r, number) : s.Write(Answer(200));
+  });
+  platform.Set(PlatformStandIn::Member("s-1", endpoint.address(), 7));
+  ListSettler();
+  ASSERT_TRUE(node.Start());
+  ASSERT_EQ(Enqueue("m", "c=unsafe,d=60000,dest=7"), "+OK");
+  if (row.end == Row::kDeliveredByTheSecond) {
+    ASSERT_TRUE(Eventually([&] { return endpoint.CallsFor("m") == 2; }));
+  } else if (row.end == Row::kFailedAfterOne) {
+    ASSERT_TRUE(Eventually([&] { return HasNotice("m", "failed"); }));
+  } else {
+    ASSERT_TRUE(Eventually([&] { return endpoint.CallsFor("m") == 1; }));
+  }
+  Settle();
+  EXPECT_EQ(endpoint.CallsFor("m"), row.end == Row::kDeliveredByTheSecond ? 2 : 1);
+  EXPECT_EQ(platform.notices().size(), row.end == Row::kFailedAfterOne ? 1u : 0u);
+}
+
+EndpointStandIn::React Says(std::string text) {
+  return [text = std::move(text)](Socket& s, const HttpRequest&, int) { return s.Write(text); };
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    EachRow, OutcomeTable,
+    ::testing::Values(
+        Row{"error", Says(Answer(500)), Row::kFailedAfterOne},
+        Row{"told_to_wait", Says(Answer(429, "X-Retry-In-Ms: 50\r\n")), Row::kDeliveredByTheSecond},
+        Row{"turned_away", Says(Answer(503)), Row::kDeliveredByTheSecond},
+        Row{"no_slot", Says(Answer(503, "X-No-Slot: 1\r\n")), Row::kDeliveredByTheSecond},
+        Row{"no_attempts_left", Says(Answer(504)), Row::kDeliveredByTheSecond},
+        Row{"over", Says(Answer(410)), Row::kOver},
+        Row{"other_status", Says(Answer(404)), Row::kFailedAfterOne},
+        Row{"unreadable", Says("rubbish\r\n\r\n"), Row::kFailedAfterOne},
+        Row{"body_too_long",
+            Says("HTTP/1.1 500 X\r\nContent-Length: 70000\r\n\r\n" + std::string(70000, 'x')),
+            Row::kFailedAfterOne},
+        Row{"ended", [](Socket&, const HttpRequest&, int) { return false; }, Row::kFailedAfterOne},
+        Row{"reset",
+            [](Socket& s, const HttpRequest&, int) {
+              s.Reset();
+              return false;
+            },
+            Row::kFailedAfterOne},
+        Row{"ended_mid_answer",
+            [](Socket& s, const HttpRequest&, int) {
+              s.Write("HTTP/1.1 503 X\r\nX-Ret");
+              return false;
+            },
+            Row::kFailedAfterOne},
+        Row{"delivered_by_its_first_line",
+            [](Socket& s, const HttpRequest&, int) {
+              s.Write("HTTP/1.1 200 OK\r\nX-");
+              return false;
+            },
+            Row::kOver},
+        Row{"timed_out", [](Socket& s, const HttpRequest&, int) { return Hang(s); }, Row::kFailedAfterOne}),
+    [](const auto& row) { return std::string(row.param.name); });
+
+TEST_F(NodeTest, ARefusedConnectionNeverRan) {
+  int port = 0;
+  { const Socket gone = Socket::Listen(port); }
+  platform.Set(PlatformStandIn::Member("s-1", "127.0.0.1:" + std::to_string(port), 7));
+  ASSERT_TRUE(node.Start());
+  ASSERT_EQ(Enqueue("m", "c=unsafe,d=60000,dest=7"), "+OK");
+  EndpointStandIn endpoint;
+  platform.Set(PlatformStandIn::Member("s-1", endpoint.address(), 7));
+  EXPECT_TRUE(Eventually([&] { return endpoint.CallsFor("m") == 1; }));
+  EXPECT_TRUE(platform.notices().empty());
+}
+
+TEST_F(NodeTest, MalformedRequestsAreAnsweredAndOthersGoOn) {
+  ListSettler();
+  ASSERT_TRUE(node.Start());
+  ClientStandIn other(node.port);
+  EXPECT_EQ(other.Ask(ClientStandIn::Command({"PING"})), "+PONG");
+  ClientStandIn client(node.port);
+  EXPECT_EQ(client.Ask(ClientStandIn::Command({"GET", "x"})).substr(0, 4), "-ERR");
+  EXPECT_EQ(client.Ask(ClientStandIn::Enqueue("m", "c=nothing,d=1000,dest=7")), "-ERR unknown class");
+  EXPECT_EQ(client.Ask(ClientStandIn::Enqueue("m", "c=safe,t=nobody,d=1000,dest=7")), "-ERR unknown tenant");
+  EXPECT_EQ(client.Ask(ClientStandIn::Enqueue("m", "c=safe,dest=7")).substr(0, 4), "-ERR");
+  EXPECT_EQ(client.Ask(ClientStandIn::Command({"ping"})), "+PONG");  // the stream could be followed
+  EXPECT_EQ(client.Ask("*1\r\n$70000\r\n").substr(0, 4), "-ERR");
+  EXPECT_EQ(client.ReadLine(), "");  // closed
+  EXPECT_EQ(other.Ask(ClientStandIn::Command({"PING"})), "+PONG");
+  Settle();
+}
+
+TEST_F(NodeTest, PipelinedInAnySplitIsAnsweredInOrder) {
+  ListSettler();
+  ASSERT_TRUE(node.Start());
+  const std::string bytes = ClientStandIn::Command({"PING"}) +
+                            ClientStandIn::Enqueue("a", "c=safe,d=60000,dest=99") +
+                            ClientStandIn::Command({"PING", "x"}) + ClientStandIn::Command({"NO"}) +
+                            ClientStandIn::Enqueue("b", "c=safe,d=60000,dest=99");
+  ClientStandIn client(node.port);
+  for (char c : bytes) ASSERT_TRUE(client.Write(std::string_view(&c, 1)));
+  const std::vector<std::string> wanted = {"+PONG", "+OK", "$1", "x", "-ERR unknown command", "+OK"};
+  for (const std::string& line : wanted) EXPECT_EQ(client.ReadLine(), line);
+  EXPECT_TRUE(Eventually([&] { return settler.CallsFor("a") == 1 && settler.CallsFor("b") == 1; }));
+}
+
+TEST_F(NodeTest, AFullHouseIsBusy) {
+  EndpointStandIn endpoint([](Socket& s, const HttpRequest&, int) { return Hang(s); });
+  platform.Set(PlatformStandIn::Member("s-1", endpoint.address(), 7));
+  node.config["settings"]["caps"]["maxOpen"] = 3;
+  ASSERT_TRUE(node.Start());
+  std::multiset<std::string> answers;
+  for (int i = 0; i < 6; ++i)
+    answers.insert(Enqueue("m" + std::to_string(i), "c=unsafe,d=60000,dest=7").substr(0, 5));
+  EXPECT_GE(answers.count("-BUSY"), 3u);
+  EXPECT_GE(answers.count("+OK"), 1u);
+}
+
+TEST_F(NodeTest, AFullJournalIsBusyUntilThereIsRoom) {
+  std::atomic<bool> hang{true};
+  EndpointStandIn endpoint([&](Socket& s, const HttpRequest&, int) {
+    while (hang) std::this_thread::sleep_for(std::chrono::milliseconds(5));
+    return s.Write(Answer(200));
+  });
+  platform.Set(PlatformStandIn::Member("s-1", endpoint.address(), 7));
+  node.config["limits"]["disk_mb"] = 0.1;
+  ASSERT_TRUE(node.Start());
+  const std::string body(10000, 'x');
+  int taken = 0;
+  for (int i = 0; i < 10; ++i)
+    taken += Enqueue("m" + std::to_string(i), "c=safe,d=60000,dest=7", body) == "+OK";
+  EXPECT_GE(taken, 1);
+  EXPECT_LE(taken, 4);
+  hang = false;
+  EXPECT_TRUE(Eventually([&] { return Enqueue("later", "c=safe,d=60000,dest=7", body) == "+OK"; }));
+  std::uintmax_t on_disk = 0;
+  for (const auto& file : std::filesystem::directory_iterator(node.folder + "/state"))
+    on_disk += file.file_size();
+  EXPECT_LE(on_disk, 100000u);
+}
+
+TEST_F(NodeTest, AClientThatLeavesBeforeItsAnswerHasWithdrawn) {
+  EndpointStandIn endpoint;
+  platform.Set(PlatformStandIn::Member("s-1", endpoint.address(), 7));
+  ListSettler();
+  ASSERT_TRUE(node.Start());
+  {
+    ClientStandIn client(node.port);
+    ASSERT_EQ(client.Ask(ClientStandIn::Command({"PING"})), "+PONG");
+    node.Signal(SIGSTOP);  // so that request and end are read together
+    ASSERT_TRUE(client.Write(ClientStandIn::Enqueue("gone", "c=unsafe,d=60000,dest=7")));
+  }
+  node.Signal(SIGCONT);
+  Settle();
+  EXPECT_EQ(endpoint.CallsFor("gone"), 0);
+  EXPECT_TRUE(platform.notices().empty());
+}
+
+TEST_F(NodeTest, OutOfTimeEndsByANoticeAndWaitsForThePlatform) {
+  platform.RefuseNotices(500);
+  ASSERT_TRUE(node.Start());
+  ASSERT_EQ(Enqueue("late", "c=unsafe,d=200,dest=7"), "+OK");  // nowhere to go
+  ASSERT_TRUE(Eventually([&] { return platform.notice_posts() >= 2; }));
+  node.Kill(SIGKILL);  // still owed: it is sent again by the next process
+  platform.RefuseNotices(204);
+  ASSERT_TRUE(node.Start());
+  ASSERT_TRUE(Eventually([&] { return platform.notices().contains("late"); }));
+  EXPECT_EQ(platform.notices()["late"].size(), 1u);
+}
+
+TEST_F(NodeTest, ADrainingEndpointGetsNothingNew) {
+  EndpointStandIn draining, ready;
+  platform.Set(PlatformStandIn::Member("s-1", draining.address(), 7));
+  platform.Set(PlatformStandIn::Member("s-2", ready.address(), 8));
+  ASSERT_TRUE(node.Start());
+  ASSERT_EQ(Enqueue("before", "c=safe,d=60000,dest=7"), "+OK");
+  ASSERT_TRUE(Eventually([&] { return draining.CallsFor("before") == 1; }));
+  platform.Set(PlatformStandIn::Member("s-1", draining.address(), 7, "Terminating"));
+  platform.Set(PlatformStandIn::Member("s-3", ready.address(), 9));
+  ASSERT_EQ(Enqueue("told", "c=safe,d=60000,dest=9"), "+OK");  // through: so the change before it was told
+  ASSERT_TRUE(Eventually([&] { return ready.CallsFor("told") == 1; }));
+  ASSERT_EQ(Enqueue("after", "c=unsafe,d=500,dest=7"), "+OK");
+  ASSERT_TRUE(Eventually([&] { return platform.notices().contains("after"); }));
+  EXPECT_EQ(draining.CallsFor("after"), 0);
+}
+
+TEST_F(NodeTest, DiscoveryMayGoAndComeBack) {
+  EndpointStandIn first, second;
+  platform.Set(PlatformStandIn::Member("s-1", first.address(), 7));
+  ASSERT_TRUE(node.Start());
+  ASSERT_TRUE(Eventually([&] { return platform.watches() == 1; }));
+  platform.EndWatches();
+  platform.Down(true);
+  ASSERT_EQ(Enqueue("meanwhile", "c=safe,d=60000,dest=7"), "+OK");  // the last list holds
+  EXPECT_TRUE(Eventually([&] { return first.CallsFor("meanwhile") == 1; }));
+  platform.Down(false);
+  platform.Set(PlatformStandIn::Member("s-2", second.address(), 8));
+  ASSERT_EQ(Enqueue("news", "c=safe,d=60000,dest=8"), "+OK");
+  EXPECT_TRUE(Eventually([&] { return second.CallsFor("news") == 1; }));
+}
+
+TEST_F(NodeTest, AStartWithoutDiscoveryUsesTheKnownList) {
+  EndpointStandIn endpoint;
+  platform.Down(true);
+  node.config["known"] = {{"seq", 41},
+                          {"whole", true},
+                          {"hosts", Json::array({PlatformStandIn::Member("s-1", endpoint.address(), 7)})}};
+  ASSERT_TRUE(node.Start());
+  ASSERT_EQ(Enqueue("m", "c=safe,d=60000,dest=7"), "+OK");
+  EXPECT_TRUE(Eventually([&] { return endpoint.CallsFor("m") == 1; }));
+}
+
+TEST_F(NodeTest, KilledWithCallsOutEachClassGetsItsEnd) {
+  std::atomic<bool> hang{true};
+  EndpointStandIn endpoint(
+      [&](Socket& s, const HttpRequest&, int) { return hang ? Hang(s) : s.Write(Answer(200)); });
+  platform.Set(PlatformStandIn::Member("s-1", endpoint.address(), 1));
+  platform.Set(PlatformStandIn::Member("s-2", endpoint.address(), 2));
+  platform.Set(PlatformStandIn::Member("s-3", endpoint.address(), 3));
+  ASSERT_TRUE(node.Start());
+  ASSERT_EQ(Enqueue("safe", "c=safe,d=60000,dest=1"), "+OK");
+  ASSERT_EQ(Enqueue("keyed", "c=keyed,d=60000,k=key,dest=2"), "+OK");
+  ASSERT_EQ(Enqueue("unsafe", "c=unsafe,d=60000,dest=3"), "+OK");
+  ASSERT_TRUE(Eventually([&] { return endpoint.calls().size() == 3; }));
+  node.Kill(SIGKILL);
+  hang = false;
+  ASSERT_TRUE(node.Start());
+  EXPECT_TRUE(Eventually([&] { return HasNotice("unsafe", "failed"); }));
+  EXPECT_TRUE(Eventually([&] { return endpoint.CallsFor("safe") == 2 && endpoint.CallsFor("keyed") == 2; }));
+  EXPECT_EQ(endpoint.CallsFor("unsafe"), 1);
+  for (const HttpRequest& call : endpoint.calls()) {
+    if (call.headers.at("x-trace-id") != "keyed") continue;
+    EXPECT_EQ(call.headers.at("idempotency-key"), "key");
+  }
+}
+
+TEST_F(NodeTest, NothingDeliveredIsSentAgainAfterARestart) {
+  EndpointStandIn endpoint;
+  platform.Set(PlatformStandIn::Member("s-1", endpoint.address(), 7));
+  ListSettler();
+  ASSERT_TRUE(node.Start());
+  for (int i = 0; i < 10; ++i) ASSERT_EQ(Enqueue("m" + std::to_string(i), "c=safe,d=60000,dest=7"), "+OK");
+  ASSERT_TRUE(Eventually([&] { return endpoint.calls().size() == 10; }));
+  Settle();
+  ASSERT_TRUE(Eventually([&] {  // the last answers are in the journal
+    return std::filesystem::exists(node.folder + "/state/journal");
+  }));
+  node.Signal(SIGTERM);
+  EXPECT_EQ(node.Wait(), 0);
+  ASSERT_TRUE(node.Start());
+  Settle("again");
+  EXPECT_EQ(endpoint.calls().size(), 10u);
+  EXPECT_TRUE(platform.notices().empty());
+}
+
+TEST_F(NodeTest, StoppedUnderLoadNothingThatWasPromisedIsLost) {
+  EndpointStandIn endpoint([](Socket& s, const HttpRequest&, int) {
+    std::this_thread::sleep_for(std::chrono::milliseconds(20));
+    return s.Write(Answer(200));
+  });
+  platform.Set(PlatformStandIn::Member("s-1", endpoint.address(), 7));
+  ASSERT_TRUE(node.Start());
+  std::set<std::string> promised;
+  ClientStandIn client(node.port);
+  for (int i = 0; i < 30; ++i) {
+    const std::string id = "m" + std::to_string(i);
+    if (client.Ask(ClientStandIn::Enqueue(id, "c=keyed,d=60000,dest=7")) == "+OK") promised.insert(id);
+    if (i == 10) node.Signal(SIGTERM);
+  }
+  EXPECT_GT(promised.size(), 20u);   // it goes on serving who is connected
+  EXPECT_EQ(client.ReadLine(), "");  // until it closes the connection
+  EXPECT_EQ(node.Wait(), 0);
+  ASSERT_TRUE(node.Start());
+  for (const std::string& id : promised) {
+    EXPECT_TRUE(Eventually([&] { return endpoint.CallsFor(id) >= 1 || platform.notices().contains(id); }))
+        << id;
+  }
+}
+
+TEST_F(NodeTest, AJournalOfRubbishIsSaidAndStartedOver) {
+  std::ofstream(node.folder + "/state/journal") << "rubbish";
+  ListSettler();
+  ASSERT_TRUE(node.Start());
+  EXPECT_NE(node.log().find("not a journal"), std::string::npos);
+  Settle();
+}
+
+TEST_F(NodeTest, ShortOfDescriptorsItStillServes) {
+  ListSettler();
+  node.config["limits"]["sockets"] = 96;
+  ASSERT_TRUE(node.Start(96));
+  std::vector<ClientStandIn> crowd;
+  for (int i = 0; i < 120; ++i) crowd.emplace_back(node.port);
+  ClientStandIn late(node.port);
+  EXPECT_EQ(late.Ask(ClientStandIn::Command({"PING"})), "+PONG");
+  Settle();
+  EXPECT_FALSE(node.Ended());
+}
+
+TEST_F(NodeTest, ASlowReaderIsHeldBackAndOthersServed) {
+  ListSettler();
+  ASSERT_TRUE(node.Start());
+  ClientStandIn slow(node.port);
+  fcntl(slow.socket().get(), F_SETFL, O_NONBLOCK);
+  std::string pings;
+  for (int i = 0; i < 1000; ++i) pings += ClientStandIn::Command({"PING", std::string(200, 'x')});
+  for (int i = 0; i < 200; ++i) slow.Write(pings);  // until the node reads no more
+  Settle();
+}
+
+TEST(NodeStart, ABadConfigurationIsOneLineAndANonZeroExit) {
+  NodeProcess node("127.0.0.1:1");
+  node.config["listen"] = "nowhere";
+  EXPECT_FALSE(node.Start());
+  EXPECT_EQ(node.Wait(), 2);
+  const std::string log = node.log();
+  EXPECT_NE(log.find("listen"), std::string::npos);
+  EXPECT_EQ(std::count(log.begin(), log.end(), '\n'), 1) << log;
+}
+
+}  // namespace
+}  // namespace indigosaddle::testing
--- /dev/null
+++ b/tests/stand_ins.h
@@ -0,0 +1,520 @@
+// Stand-ins for the world round a delivery node, and the node itself as a process. Loopback only; ports are
+// given by the kernel; whoever waits, waits for a condition under one generous limit.
+#pragma once
+
+#include <arpa/inet.h>
+#include <fcntl.h>
+#include <gtest/gtest.h>
+#include <netinet/in.h>
+#include <poll.h>
+#include <signal.h>
+#include <sys/resource.h>
+#include <sys/socket.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <atomic>
+#include <chrono>
+#include <condition_variable>
+#include <cstdlib>
+#include <filesystem>
+#include <fstream>
+#include <functional>
+#include <list>
+#include <map>
+#include <mutex>
+#include <nlohmann/json.hpp>
+#include <optional>
+#include <sstream>
+#include <string>
+#include <string_view>
+#include <thread>
+#include <utility>
+#include <vector>
+
+namespace indigosaddle::testing {
+
+using Clock = std::chrono::steady_clock;
+constexpr auto kPatience = std::chrono::seconds(60);
+
+inline bool Eventually(const std::function<bool()>& holds) {
+  const auto end = Clock::now() + kPatience;
+  while (!holds()) {
+    if (Clock::now() > end) return false;
+    std::this_thread::sleep_for(std::chrono::milliseconds(5));
+  }
+  return true;
+}
+
+class Socket {
+ public:
+  explicit Socket(int descriptor = -1) : descriptor_(descriptor) {}
+  ~Socket() { Close(); }
+  Socket(Socket&& other) noexcept : descriptor_(std::exchange(other.descriptor_, -1)) {}
+  Socket& operator=(Socket&& other) noexcept {
+    Close();
+    descriptor_ = std::exchange(other.descriptor_, -1);
+    return *this;
+  }
+
+  static Socket Listen(int& port) {
+    Socket socket(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0));
+    sockaddr_in at{};
+    at.sin_family = AF_INET;
+    at.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    socklen_t size = sizeof at;
+    if (bind(socket.get(), reinterpret_cast<sockaddr*>(&at), size) != 0 || listen(socket.get(), 128) != 0)
+      abort();
+    getsockname(socket.get(), reinterpret_cast<sockaddr*>(&at), &size);
+    port = ntohs(at.sin_port);
+    return socket;
+  }
+  static Socket Connect(int port) {
+    Socket socket(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0));
+    sockaddr_in to{};
+    to.sin_family = AF_INET;
+    to.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    to.sin_port = htons(static_cast<std::uint16_t>(port));
+    if (connect(socket.get(), reinterpret_cast<sockaddr*>(&to), sizeof to) != 0) socket.Close();
+    return socket;
+  }
+
+  int get() const { return descriptor_; }
+  bool open() const { return descriptor_ >= 0; }
+  void Close() {
+    if (descriptor_ >= 0) close(std::exchange(descriptor_, -1));
+  }
+  void Reset() {  // ends it with a reset instead of an orderly close
+    const linger hard{1, 0};
+    setsockopt(descriptor_, SOL_SOCKET, SO_LINGER, &hard, sizeof hard);
+    Close();
+  }
+  bool Write(std::string_view bytes) const {
+    while (!bytes.empty()) {
+      const ssize_t wrote = send(descriptor_, bytes.data(), bytes.size(), MSG_NOSIGNAL);
+      if (wrote <= 0) return false;
+      bytes.remove_prefix(static_cast<std::size_t>(wrote));
+    }
+    return true;
+  }
+  // More bytes, or nothing at the end of the connection or of the patience.
+  std::string Read(std::chrono::milliseconds patience = kPatience) const {
+    pollfd wait{descriptor_, POLLIN, 0};
+    if (poll(&wait, 1, static_cast<int>(patience.count())) <= 0) return {};
+    std::string bytes(65536, '\0');
+    const ssize_t count = recv(descriptor_, bytes.data(), bytes.size(), 0);
+    bytes.resize(count > 0 ? static_cast<std::size_t>(count) : 0);
+    return bytes;
+  }
+
+ private:
+  int descriptor_;
+};
+
+struct HttpRequest {
+  std::string line, body;
+  std::map<std::string, std::string> headers;  // names in lower case
+};
+
+// An HTTP server with a thread for each connection. The handler gets the socket and may do anything with it;
+// it returns false to end the connection.
+class HttpServer {
+ public:
+  using Handler = std::function<bool(Socket&, const HttpRequest&)>;
+
+  explicit HttpServer(Handler handler) : handler_(std::move(handler)), listener_(Socket::Listen(port_)) {
+    acceptor_ = std::thread([this] {
+      while (!stopped_) {
+        Socket socket(accept4(listener_.get(), nullptr, nullptr, SOCK_CLOEXEC));
+        if (stopped_ || !socket.open()) return;
+        ++accepted;
+        const std::lock_guard lock(mutex_);
+        const int descriptor = socket.get();
+        descriptors_.push_back(descriptor);
+        threads_.emplace_back([this, held = std::move(socket)]() mutable { Serve(std::move(held)); });
+      }
+    });
+  }
+  ~HttpServer() { Stop(); }
+
+  int port() const { return port_; }
+  std::string address() const { return "127.0.0.1:" + std::to_string(port_); }
+  bool stopped() const { return stopped_; }
+
+  void Stop() {
+    if (stopped_.exchange(true)) return;
+    shutdown(listener_.get(), SHUT_RDWR);
+    acceptor_.join();
+    {
+      const std::lock_guard lock(mutex_);
+      for (int descriptor : descriptors_) shutdown(descriptor, SHUT_RDWR);
+    }
+    for (std::thread& thread : threads_) thread.join();
+    listener_.Close();
+  }
+
+  std::atomic<int> accepted{0};
+
+ private:
+  void Serve(Socket socket) {
+    const int descriptor = socket.get();
+    std::string bytes;
+    while (!stopped_) {
+      const std::size_t end = bytes.find("\r\n\r\n");
+      if (end == std::string::npos) {
+        const std::string more = socket.Read();
+        if (more.empty()) break;
+        bytes += more;
+        continue;
+      }
+      HttpRequest request;
+      std::istringstream head(bytes.substr(0, end));
+      std::getline(head, request.line);
+      if (!request.line.empty() && request.line.back() == '\r') request.line.pop_back();
+      for (std::string line; std::getline(head, line);) {
+        const std::size_t colon = line.find(": ");
+        if (!line.empty() && line.back() == '\r') line.pop_back();
+        std::string name = line.substr(0, colon);
+        std::transform(name.begin(), name.end(), name.begin(),
+                       [](unsigned char c) { return std::tolower(c); });
+        request.headers[name] = colon == std::string::npos ? "" : line.substr(colon + 2);
+      }
+      const auto length = request.headers.find("content-length");
+      const std::size_t size = length == request.headers.end() ? 0 : std::stoul(length->second);
+      bytes.erase(0, end + 4);
+      while (bytes.size() < size) {
+        const std::string more = socket.Read();
+        if (more.empty()) break;
+        bytes += more;
+      }
+      if (bytes.size() < size) break;
+      request.body = bytes.substr(0, size);
+      bytes.erase(0, size);
+      if (!handler_(socket, request)) break;
+    }
+    // The descriptor must not be shut down by number once it is closed.
+    const std::lock_guard lock(mutex_);
+    std::erase(descriptors_, descriptor);
+    socket.Close();
+  }
+
+  Handler handler_;
+  int port_ = 0;
+  Socket listener_;
+  std::atomic<bool> stopped_{false};
+  std::mutex mutex_;
+  std::vector<int> descriptors_;
+  std::list<std::thread> threads_;
+  std::thread acceptor_;
+};
+
+inline std::string Answer(int status, const std::string& headers = "") {
+  return "HTTP/1.1 " + std::to_string(status) + " X\r\n" + headers + "Content-Length: 0\r\n\r\n";
+}
+
+// An endpoint: notes every call, and answers the n-th as `react` says. By default it delivers.
+class EndpointStandIn {
+ public:
+  using React = std::function<bool(Socket&, const HttpRequest&, int)>;
+
+  explicit EndpointStandIn(React react = [](Socket& s, const HttpRequest&,
+                                            int) { return s.Write(Answer(200)); })
+      : react_(std::move(react)), server_([this](Socket& socket, const HttpRequest& request) {
+          int number = 0;
+          {
+            const std::lock_guard lock(mutex_);
+            calls_.push_back(request);
+            number = static_cast<int>(calls_.size());
+          }
+          return react_(socket, request, number);
+        }) {}
+
+  std::vector<HttpRequest> calls() {
+    const std::lock_guard lock(mutex_);
+    return calls_;
+  }
+  int CallsFor(const std::string& id) {
+    const auto all = calls();
+    return static_cast<int>(std::count_if(all.begin(), all.end(), [&](const HttpRequest& r) {
+      const auto it = r.headers.find("x-trace-id");
+      return it != r.headers.end() && it->second == id;
+    }));
+  }
+  std::string address() const { return server_.address(); }
+  HttpServer& server() { return server_; }
+
+ private:
+  std::mutex mutex_;
+  std::vector<HttpRequest> calls_;
+  React react_;
+  HttpServer server_;
+};
+
+// Holds a connection open, saying nothing, until the other side or the stand-in ends it.
+inline bool Hang(Socket& socket) {
+  while (!socket.Read().empty()) {
+  }
+  return false;
+}
+
+// Discovery and the platform's notices at one address.
+class PlatformStandIn {
+ public:
+  PlatformStandIn()
+      : server_([this](Socket& socket, const HttpRequest& request) { return Serve(socket, request); }) {}
+  ~PlatformStandIn() {
+    Down(false);
+    closing_ = true;
+    changed_.notify_all();
+    server_.Stop();
+  }
+
+  static nlohmann::json Member(const std::string& host, const std::string& dial, int block,
+                               const std::string& health = "Ready") {
+    return {{"host", host},   {"dial", dial},     {"site", "z"},  {"class", "m"},
+            {"block", block}, {"health", health}, {"share", 1.0}, {"born_ms", 0}};
+  }
+  void Set(const nlohmann::json& member) {
+    const std::lock_guard lock(mutex_);
+    ++version_;
+    for (nlohmann::json& old : members_) {
+      if (old["host"] == member["host"]) old = member;
+    }
+    if (std::none_of(members_.begin(), members_.end(),
+                     [&](const auto& m) { return m["host"] == member["host"]; })) {
+      members_.push_back(member);
+    }
+    changes_.emplace_back(version_, member);
+    changed_.notify_all();
+  }
+  void Down(bool down) {
+    const std::lock_guard lock(mutex_);
+    down_ = down;
+    changed_.notify_all();
+  }
+  void EndWatches() {
+    const std::lock_guard lock(mutex_);
+    ++generation_;
+    changed_.notify_all();
+  }
+  void RefuseNotices(int status) { notice_status_ = status; }
+  std::map<std::string, std::vector<nlohmann::json>> notices() {
+    const std::lock_guard lock(mutex_);
+    return notices_;
+  }
+  int watches() const { return watches_; }
+  int whole_lists() const { return whole_lists_; }
+  int notice_posts() const { return notice_posts_; }
+  std::string address() const { return server_.address(); }
+
+ private:
+  std::string Lines(bool whole, std::uint64_t version, const nlohmann::json& hosts) const {
+    return nlohmann::json{{"seq", version}, {"whole", whole}, {"hosts", hosts}}.dump() + "\n";
+  }
+  static std::string Chunk(const std::string& text) {
+    std::ostringstream out;
+    out << std::hex << text.size() << "\r\n" << text << "\r\n";
+    return out.str();
+  }
+
+  bool Serve(Socket& socket, const HttpRequest& request) {
+    if (request.line.starts_with("POST /v1/notices ")) {
+      ++notice_posts_;
+      if (notice_status_ != 204) return socket.Write(Answer(notice_status_));
+      std::istringstream lines(request.body);
+      const std::lock_guard lock(mutex_);
+      for (std::string line; std::getline(lines, line);) {
+        const auto notice = nlohmann::json::parse(line);
+        notices_[notice["id"]].push_back(notice);
+      }
+      return socket.Write("HTTP/1.1 204 No Content\r\n\r\n");
+    }
+    std::unique_lock lock(mutex_);
+    changed_.wait(lock, [&] { return !down_ || closing_; });
+    const std::size_t from = request.line.find("from=");
+    if (from == std::string::npos) {
+      ++whole_lists_;
+      const std::string body = Lines(true, version_, members_);
+      return socket.Write("HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" +
+                          body);
+    }
+    ++watches_;
+    std::uint64_t seen = std::stoull(request.line.substr(from + 5));
+    const int generation = generation_;
+    if (!socket.Write("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")) return false;
+    bool first = true;
+    while (!closing_ && generation == generation_) {
+      nlohmann::json news = nlohmann::json::array();
+      for (const auto& [version, member] : changes_) {
+        if (version > seen) news.push_back(member);
+      }
+      if (!down_ && (first || !news.empty())) {
+        seen = version_;
+        first = false;
+        if (!socket.Write(Chunk(Lines(false, version_, news)))) return false;
+      } else if (!down_ && !socket.Write(Chunk("\n"))) {
+        return false;
+      }
+      changed_.wait_for(lock, std::chrono::milliseconds(500));
+    }
+    return false;
+  }
+
+  std::mutex mutex_;
+  std::condition_variable changed_;
+  std::uint64_t version_ = 1;
+  nlohmann::json members_ = nlohmann::json::array();
+  std::vector<std::pair<std::uint64_t, nlohmann::json>> changes_;
+  std::map<std::string, std::vector<nlohmann::json>> notices_;
+  bool down_ = false;
+  int generation_ = 0;
+  std::atomic<bool> closing_{false};
+  std::atomic<int> watches_{0}, whole_lists_{0}, notice_posts_{0}, notice_status_{204};
+  HttpServer server_;
+};
+
+// A client's connection to the node.
+class ClientStandIn {
+ public:
+  explicit ClientStandIn(int port) : socket_(Socket::Connect(port)) {}
+
+  static std::string Command(const std::vector<std::string>& parts) {
+    std::string out = "*" + std::to_string(parts.size()) + "\r\n";
+    for (const std::string& part : parts) out += "$" + std::to_string(part.size()) + "\r\n" + part + "\r\n";
+    return out;
+  }
+  static std::string Enqueue(const std::string& id, const std::string& names,
+                             const std::string& body = "body") {
+    return Command({"ENQUEUE", "0000000000000000", id, names, body});
+  }
+
+  bool Write(std::string_view bytes) { return socket_.Write(bytes); }
+  std::string ReadLine() {
+    std::size_t end = 0;
+    while ((end = bytes_.find("\r\n")) == std::string::npos) {
+      const std::string more = socket_.Read();
+      if (more.empty()) return "";
+      bytes_ += more;
+    }
+    const std::string line = bytes_.substr(0, end);
+    bytes_.erase(0, end + 2);
+    return line;
+  }
+  std::string Ask(std::string_view bytes) { return Write(bytes) ? ReadLine() : ""; }
+  Socket& socket() { return socket_; }
+
+ private:
+  Socket socket_;
+  std::string bytes_;
+};
+
+// The built program. Its state folder outlives its processes.
+class NodeProcess {
+ public:
+  explicit NodeProcess(std::string discovery) {
+    std::string name = (std::filesystem::temp_directory_path() / "indigosaddle-node-XXXXXX").string();
+    folder = mkdtemp(name.data());
+    std::filesystem::create_directory(folder + "/state");
+    config = {
+        {"name", "n0"},
+        {"listen", "127.0.0.1:0"},
+        {"discovery", std::move(discovery)},
+        {"seed", "1f"},
+        {"limits", {{"cores", 1.0}, {"memory_mb", 192}, {"sockets", 1024}, {"disk_mb", 3}}},
+        {"settings",
+         {{"balancers", 1},
+          {"tick", 5.0},
+          {"discovery", "pushed"},
+          {"caps",
+           {{"attemptsCap", 12},
+            {"dialTimeout", 1500.0},
+            {"idleClose", 15000.0},
+            {"maxOpen", 100},
+            {"maxRetryAfter", 2000.0}}},
+          {"classes",
+           {Class("keyed", "idempotency_key"), Class("safe", "read_like"),
+            Class("unsafe", "non_idempotent")}},
+          {"familyInfo",
+           {{"callSlots", 8}, {"perCall", {1}}, {"separateRoutes", {false}}, {"decay", "even"}}},
+          {"guarantees", {{"coldFrom", 0.25}, {"cold", 1000.0}, {"fall", 500.0}, {"overloadFactor", 2.0}}},
+          {"machineTypes", {"m"}},
+          {"zones", {"z"}},
+          {"zone", 0}}}};
+  }
+  ~NodeProcess() {
+    if (process_ > 0) Kill(SIGKILL);
+    if (::testing::Test::HasFailure()) std::fputs(log().c_str(), stderr);
+    std::filesystem::remove_all(folder);
+  }
+
+  // Starts it and waits until it serves. False where it ended instead.
+  bool Start(rlim_t descriptors = 0) {
+    std::ofstream(folder + "/config.json") << config.dump();
+    const std::string log_path = folder + "/log" + std::to_string(++lives_);
+    const std::string state = folder + "/state", path = folder + "/config.json";
+    process_ = fork();
+    if (process_ == 0) {
+      const int log_file = open(log_path.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0600);
+      dup2(log_file, 1);
+      dup2(log_file, 2);
+      if (descriptors > 0) {
+        const rlimit limit{descriptors, descriptors};
+        setrlimit(RLIMIT_NOFILE, &limit);
+      }
+      setenv("EDGE_CONFIG", path.c_str(), 1);
+      setenv("EDGE_STATE", state.c_str(), 1);
+      execl(INDIGOSADDLE_PROGRAM, INDIGOSADDLE_PROGRAM, static_cast<char*>(nullptr));
+      _exit(127);
+    }
+    port = 0;
+    Eventually([&] {
+      const std::string text = log();
+      const std::string mark = "serves on 127.0.0.1:";
+      if (const std::size_t at = text.find(mark); at != std::string::npos)
+        port = std::stoi(text.substr(at + mark.size()));
+      return port > 0 || Ended();
+    });
+    return port > 0 && ClientStandIn(port).Ask(ClientStandIn::Command({"PING"})) == "+PONG";
+  }
+
+  void Signal(int number) const { kill(process_, number); }
+  void Kill(int number) {
+    Signal(number);
+    Wait();
+  }
+  // The exit status; negative: the signal that ended it.
+  int Wait() {
+    Eventually([&] { return Ended(); });
+    return status_;
+  }
+  bool Ended() {
+    int status = 0;
+    if (process_ <= 0) return true;
+    if (waitpid(process_, &status, WNOHANG) != process_) return false;
+    process_ = 0;
+    status_ = WIFEXITED(status) ? WEXITSTATUS(status) : -WTERMSIG(status);
+    return true;
+  }
+  std::string log() const {
+    std::ostringstream text;
+    std::ifstream file(folder + "/log" + std::to_string(lives_));
+    if (file) text << file.rdbuf();
+    return text.str();
+  }
+
+  nlohmann::json config;
+  std::string folder;
+  int port = 0;
+
+ private:
+  static nlohmann::json Class(const char* name, const char* effect) {
+    return {{"name", name},  {"effect", effect}, {"group", "all"},      {"keyTtl", 60000.0},
+            {"aim", 1000.0}, {"worth", 1.0},     {"deadline", 60000.0}, {"lateValue", 0.4}};
+  }
+
+  pid_t process_ = 0;
+  int status_ = 0, lives_ = 0;
+};
+
+}  // namespace indigosaddle::testing
