Two faults found by the node's tests: a wake-up lost to an early timer, a crowd cut off

Seen: a message told to wait was sometimes never tried again; a new client in a crowd was cut off. Cause 1: libuv's timers count whole milliseconds from a cached time and may be early by a part of one. The module then still believed in its timer and armed no other (ArmTimer). Node::Wake now waits for what is left. Cause 2: a new connection counted as quiet since time zero, so the newest was closed for the next; and closed ones kept their descriptors through one pass of the loop, so that libuv, out of descriptors, dropped those that waited.

--- a/src/net/resp_server.cpp
+++ b/src/net/resp_server.cpp
@@ -25,7 +25,8 @@
 
 class RespServer::Connection : public Stream::Listener {
  public:
-  Connection(RespServer& server, std::uint64_t id) : server_(server), id_(id), stream_(server.loop_, *this) {}
+  Connection(RespServer& server, std::uint64_t id)
+      : server_(server), id_(id), stream_(server.loop_, *this), quiet_since_(server.loop_.Now()) {}
 
   int Begin(uv_stream_t* listener) {
     const int error = stream_.Accept(listener);
@@ -37,6 +38,8 @@
     stream_.StopReading();
   }
 
+  bool Gone() const { return stream_.ended_unread(); }
+
   Micros quiet_since() const { return quiet_since_; }
   bool Quiet() const {
     return replies_.empty() && backlog_.empty() && reader_.between_commands() && stream_.unwritten() == 0 &&
@@ -145,7 +148,7 @@
   std::string backlog_;                             // read, not yet followed
   std::deque<std::optional<std::string>> replies_;  // in the order asked; the last is for last_command_
   std::uint64_t last_command_ = 0;
-  Micros quiet_since_{0};
+  Micros quiet_since_;
   bool reading_ = true, leaving_ = false;
 };
 
@@ -212,7 +215,10 @@
         oldest = it;
     }
     if (oldest == connections_.end()) return admit_.Start(kAdmitAgain);
-    Drop(oldest->first);
+    // At once: its descriptor is needed before this pass of the loop is over.
+    const std::uint64_t gone = oldest->first;
+    connections_.erase(oldest);
+    handler_.OnClientGone(gone);
   }
   waiting_ = false;
   const std::uint64_t id = ++last_connection_;
@@ -230,6 +236,11 @@
   }
 }
 
+bool RespServer::Gone(std::uint64_t connection) const {
+  const auto it = connections_.find(connection);
+  return it == connections_.end() || it->second->Gone();
+}
+
 bool RespServer::CloseQuiet() {
   std::vector<std::uint64_t> quiet;
   for (const auto& [id, connection] : connections_) {
--- a/src/net/resp_server.h
+++ b/src/net/resp_server.h
@@ -32,6 +32,7 @@
   std::string address() const;             // as bound
   void StopListening();
   void Reply(std::uint64_t connection, std::uint64_t command, std::string line);
+  bool Gone(std::uint64_t connection) const;  // closed by the client, read or not
   // Closes connections that stand between requests and have nothing unread. True when none is left.
   bool CloseQuiet();
   std::size_t connections() const { return connections_.size(); }
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -52,7 +52,7 @@
       server_(loop, *this, Connections(config_.sockets)),
       discovery_(loop, *this, config_.discovery),
       notices_(loop, *this, config_.discovery),
-      turn_timer_(loop, [this] { turn_due_ = true; }),
+      turn_timer_(loop, [this] { Wake(); }),
       later_timer_(loop, [this] { turn_due_ = true; }),
       leave_timer_(loop, [this] { LeaveClients(); }),
       finish_timer_(loop, [this] { Finish(); }),
@@ -150,6 +150,14 @@
   uv_idle_start(&idle_, [](uv_idle_t*) {});
 }
 
+// The loop's timers count whole milliseconds and may be early by a part of one. A turn before the time that
+// the module asked for would leave it waiting for a timer that is gone.
+void Node::Wake() {
+  const Micros left = wake_at_ - loop_.Now();
+  if (left > Micros(0)) return turn_timer_.Start(left);
+  turn_due_ = true;
+}
+
 // What came since the last turn goes to the module, then its decisions are carried out. Nothing leaves before
 // the journal holds it.
 void Node::RunTurn() {
@@ -158,7 +166,14 @@
   now_ = std::max(now_, loop_.Now());
   brain_->OnTurnStart(now_);
   for (state::Effect& effect : std::exchange(later_, {})) Carry(effect);
-  for (const state::Event& event : std::exchange(events_, {})) Reduce(event);
+  for (const state::Event& event : std::exchange(events_, {})) {
+    Reduce(event);
+    // A client that has closed meanwhile has withdrawn, though the loop has not read that yet.
+    const auto* message = std::get_if<state::ClientMessage>(&event);
+    if (message != nullptr && server_.Gone(message->client.connection)) {
+      Reduce(state::ClientGone{message->client.connection});
+    }
+  }
   brain_->OnTurnEnd();
   for (const state::Event& decision : std::exchange(decisions_, {})) Reduce(decision);
   Reduce(state::TurnEnded{});
@@ -202,7 +217,10 @@
 void Node::Do(state::TellStop& e) { brain_->OnStop(e.at); }
 void Node::Do(state::AppendJournal& e) { Write(journal_.Append(e.bytes)); }
 void Node::Do(state::RewriteJournal& e) { Write(journal_.Rewrite(e.bytes)); }
-void Node::Do(state::ArmTimer& e) { turn_timer_.Start(std::max(Micros(0), e.at - loop_.Now())); }
+void Node::Do(state::ArmTimer& e) {
+  wake_at_ = e.at;
+  turn_timer_.Start(std::max(Micros(0), wake_at_ - loop_.Now()));
+}
 void Node::Do(state::RenewWatch&) { discovery_.Renew(); }
 void Node::Do(state::CloseIdle& e) { pool_.CloseIdle(e.dial); }
 void Node::Do(state::Note& e) { log_.Info("{}", e.text); }
--- a/tests/brain_rules_test.cpp
+++ b/tests/brain_rules_test.cpp
@@ -555,7 +555,7 @@
       },
       [&](Micros now) {
         if (now == Micros(0)) node.List({TestNode::At(1, "a"), TestNode::At(2, "b")});
-        if (now < seconds(1)) node.Take(static_cast<MessageId>(now.count() + 1), 1);
+        if (now.count() % 100000 == 0) node.Take(static_cast<MessageId>(now.count() / 100000 + 1), 1);
       });
   node.Turn(seconds(2), [&] {
     node.brain().OnStop(seconds(3));
--- a/tests/net_test.cpp
+++ b/tests/net_test.cpp
@@ -218,8 +218,8 @@
   request.timeout = Micros(1500001);
   EXPECT_EQ(FormatCall(request),
             std::string("POST /hook HTTP/1.1\r\nHost: s-1\r\nX-Trace-Id: 9b1f\r\nIdempotency-Key: 5c0f\r\n"
-                        "X-Expires-In: 1501m\r\nContent-Length: 3\r\n\r\n\0\r\n",
-                        120));
+                        "X-Expires-In: 1501m\r\nContent-Length: 3\r\n\r\n") +
+                request.body);
   request.idempotency_key.clear();
   EXPECT_EQ(FormatCall(request).find("Idempotency-Key"), std::string::npos);
 }
--- a/tests/state_test.cpp
+++ b/tests/state_test.cpp
@@ -169,8 +169,11 @@
  public:
   explicit Play(std::size_t journal_bytes = 100000, std::size_t most_open = 100)
       : state({most_open, journal_bytes, {{"notice", 0}}, {{"acme", 1}}}) {
+    Event_(Recovered{});
+    Turn();
     Event_(ListNews{{{{"s-1", 3, 0, 7, EndpointState::kReady}, "127.0.0.1:1"}}, true});
     effects.clear();
+    writes = rewrites = 0;
   }
 
   // An event, with all that follows from it at once.
@@ -426,7 +429,7 @@
 }
 
 TEST(Reducer, TheFolderStaysUnderItsLimitWhileServing) {
-  constexpr std::size_t kLimit = 40000;
+  constexpr std::size_t kLimit = 12000;
   Play play(kLimit);
   for (int i = 0; i < 400; ++i) {
     const std::size_t before = play.journal.size();
@@ -445,7 +448,7 @@
       EXPECT_LE(before + play.journal.size() + 1024, kLimit);
     }
     EXPECT_LE(play.journal.size(), kLimit);
-    EXPECT_EQ(play.journal.size(), play.state.journal_size + 0) << i;
+    EXPECT_EQ(play.journal.size(), play.state.journal_size) << i;
   }
   EXPECT_GT(play.rewrites, 3);
   EXPECT_EQ(play.state.room, 0u);
