--- a/src/net/call_pool.cpp
+++ b/src/net/call_pool.cpp
@@ -16,7 +16,8 @@
 using state::Ending;
 
 constexpr std::size_t kMostAnswerBody = 64 * 1024;
-// An idle connection is closed this much before the other side may: a request on its way must arrive in time.
+// An idle connection is closed this much before the other side may, a quarter of its time at most: a request
+// on its way must arrive in time.
 constexpr Micros kIdleMargin = std::chrono::milliseconds(500);
 constexpr Micros kSweepEvery = std::chrono::milliseconds(250);
 constexpr double kMostWaitMillis = 1e9;
@@ -235,13 +236,15 @@
     --idle_count_;
   }
   if (connection == nullptr || connection->ended_unread()) return nullptr;
-  if (limits_.idle_close > Micros(0) &&
-      loop_.Now() - connection->idle_since() >= limits_.idle_close - kIdleMargin) {
-    return nullptr;  // the rest are older still; the sweep takes them
-  }
+  if (Stale(*connection)) return nullptr;  // the rest are older still; the sweep takes them
   return connection;
 }
 
+bool CallPool::Stale(const Connection& connection) const {
+  const Micros limit = limits_.idle_close - std::min<Micros>(kIdleMargin, limits_.idle_close / 4);
+  return limits_.idle_close > Micros(0) && loop_.Now() - connection.idle_since() >= limit;
+}
+
 void CallPool::DropOldestIdle() {
   Idle* oldest = nullptr;
   for (auto& [dial, idle] : idle_) {
@@ -262,12 +265,8 @@
 }
 
 void CallPool::CloseStale() {
-  const Micros now = loop_.Now();
   for (auto it = idle_.begin(); it != idle_.end();) {
-    idle_count_ -= std::erase_if(it->second, [&](const auto& connection) {
-      return limits_.idle_close > Micros(0) &&
-             now - connection->idle_since() >= limits_.idle_close - kIdleMargin;
-    });
+    idle_count_ -= std::erase_if(it->second, [this](const auto& connection) { return Stale(*connection); });
     it = it->second.empty() ? idle_.erase(it) : std::next(it);
   }
   sweep_.Start(kSweepEvery);
--- a/src/net/call_pool.h
+++ b/src/net/call_pool.h
@@ -53,6 +53,7 @@
   void Finished(Connection& connection, const CallResult& result, bool reusable);
   void IdleEnded(Connection& connection);
   std::unique_ptr<Connection> TakeIdle(const std::string& dial);
+  bool Stale(const Connection& connection) const;
   void DropOldestIdle();
   void CloseStale();
   void Bury(std::unique_ptr<Connection> connection);
--- a/src/net/discovery.cpp
+++ b/src/net/discovery.cpp
@@ -33,6 +33,9 @@
   member.site = Text(entry, "site");
   member.kind = Text(entry, "class");
   if (member.host.empty()) return "no host";
+  const auto visible = [](unsigned char c) { return c > ' ' && c < 0x7f; };  // it goes on as a header's value
+  if (!std::all_of(member.host.begin(), member.host.end(), visible))
+    return "a host that is not visible ASCII";
   const auto block = entry.find("block");
   if (block == entry.end() || !block->is_number_integer() || (!block->is_number_unsigned() && *block < 0)) {
     return "no block";
--- a/tests/net_test.cpp
+++ b/tests/net_test.cpp
@@ -266,6 +266,7 @@
         R"({"host":"x","dial":"127.0.0.1:1","block":-3,"health":"Ready"})",
         R"({"host":"x","dial":"127.0.0.1:1","block":"3","health":"Ready"})",
         R"({"host":"x","dial":"127.0.0.1:1","block":3,"health":"Fine"})",
+        R"({"host":"a\r\nb","dial":"127.0.0.1:1","block":3,"health":"Ready"})",
         R"({"host":5,"dial":"127.0.0.1:1","block":3,"health":"Ready"})"}) {
     const auto news = ParseMembers(List(bad + "," + kGood));
     ASSERT_TRUE(news) << bad;
--- a/tests/node_test.cpp
+++ b/tests/node_test.cpp
@@ -70,6 +70,8 @@
   enum { kDeliveredByTheSecond, kFailedAfterOne, kOver } end;
 };
 
+void PrintTo(const Row& row, std::ostream* out) { *out << row.name; }
+
 class OutcomeTable : public NodeTest, public ::testing::WithParamInterface<Row> {};
 
 TEST_P(OutcomeTable, OfAnUnsafeMessage) {
