--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -163,9 +163,10 @@
   }
 
   void OnList(const std::vector<Endpoint>& entries, bool whole) override {
-    for (auto& [id, home] : destinations_)
+    for (auto& [id, home] : destinations_) {
       for (Route& route : home.routes)
-        route.endpoint.state = whole ? EndpointState::kGone : route.endpoint.state;
+        if (whole) route.endpoint.state = EndpointState::kGone;
+    }
     for (const Endpoint& entry : entries) {
       Destination& home = destinations_[entry.destination];
       Route* route = Find(home, entry.id);
@@ -665,12 +666,11 @@
 
   void ArmTimer() {
     Micros next = watch_due_;
-    for (const auto& [id, held] : held_)
-      if (!held.ended)
-        next = std::min(next, held.out ? held.message.give_up_at + set_.tick : now_ + kRecheck);
-    if (next >= timer_) return;
-    timer_ = std::max(next, now_);
-    host_.SetTimer(timer_);
+    for (const auto& [id, held] : held_) {
+      const Micros due = held.out ? held.message.give_up_at + set_.tick : now_ + kRecheck;
+      if (!held.ended) next = std::min(next, due);
+    }
+    if (next < timer_) host_.SetTimer(timer_ = std::max(next, now_));
   }
 
   Settings set_;
--- a/src/net/call_pool.cpp
+++ b/src/net/call_pool.cpp
@@ -15,7 +15,7 @@
 
 using state::Ending;
 
-constexpr std::size_t kMostAnswerBody = 64 * 1024;
+constexpr std::size_t kMostAnswerBody = std::size_t{64} * 1024;
 // An idle connection is closed this much before the other side may, a quarter of its time at most: a request
 // on its way must arrive in time.
 constexpr Micros kIdleMargin = std::chrono::milliseconds(500);
--- a/src/net/discovery.cpp
+++ b/src/net/discovery.cpp
@@ -13,7 +13,7 @@
 
 using nlohmann::json;
 
-constexpr std::size_t kMostText = 8 * 1024 * 1024;  // of one list or line
+constexpr std::size_t kMostText = std::size_t{8} * 1024 * 1024;  // of one list or line
 // A line comes every 2 s. What discovery has to tell counts as told 6 s later: a new watch must stand by
 // then.
 constexpr Micros kSilent = std::chrono::milliseconds(4500);
--- a/src/net/http_reader.cpp
+++ b/src/net/http_reader.cpp
@@ -7,7 +7,7 @@
 namespace indigosaddle::net {
 namespace {
 
-constexpr std::size_t kMostHead = 16 * 1024;
+constexpr std::size_t kMostHead = std::size_t{16} * 1024;
 
 bool Informational(unsigned status) { return status >= 100 && status < 200; }
 
@@ -108,7 +108,8 @@
 
 std::string_view HttpReader::header(const std::string& lower_name) const {
   const auto it = headers_.find(lower_name);
-  return it == headers_.end() ? std::string_view() : std::string_view(it->second);
+  if (it == headers_.end()) return {};
+  return it->second;
 }
 
 }  // namespace indigosaddle::net
--- a/src/net/notices.cpp
+++ b/src/net/notices.cpp
@@ -9,8 +9,8 @@
 namespace indigosaddle::net {
 namespace {
 
-constexpr std::size_t kMostAnswerBody = 64 * 1024;
-constexpr std::size_t kMostBody = 60 * 1024;  // of one request
+constexpr std::size_t kMostAnswerBody = std::size_t{64} * 1024;
+constexpr std::size_t kMostBody = std::size_t{60} * 1024;  // of one request
 constexpr Micros kPatience = std::chrono::seconds(1);
 constexpr Micros kLeastPause = std::chrono::milliseconds(20);
 constexpr Micros kMostPause = std::chrono::milliseconds(500);
--- a/src/net/resp.cpp
+++ b/src/net/resp.cpp
@@ -8,10 +8,10 @@
 namespace {
 
 constexpr std::int64_t kMostParts = 64;
-constexpr std::size_t kMostLine = 32;                       // a mark, a number and the line's end
-constexpr std::size_t kMostCommand = kMostBody + 8 * 1024;  // all parts together
-constexpr std::int64_t kMostMillis = 1'000'000'000;         // of `d`: over eleven days
-constexpr std::size_t kMostName = 256;                      // an id or a key
+constexpr std::size_t kMostLine = 32;  // a mark, a number and the line's end
+constexpr std::size_t kMostCommand = kMostBody + std::size_t{8} * 1024;  // all parts together
+constexpr std::int64_t kMostMillis = 1'000'000'000;                      // of `d`: over eleven days
+constexpr std::size_t kMostName = 256;                                   // an id or a key
 
 template <typename T>
 bool ParseNumber(std::string_view text, T& value) {
--- a/src/net/resp.h
+++ b/src/net/resp.h
@@ -48,6 +48,6 @@
 // Empty where the command is well formed, else what is wrong with it.
 std::string ParseEnqueue(const std::vector<std::string>& command, Enqueue& out);
 
-constexpr std::size_t kMostBody = 64 * 1024;
+constexpr std::size_t kMostBody = std::size_t{64} * 1024;
 
 }  // namespace indigosaddle::net
--- a/src/net/resp_server.cpp
+++ b/src/net/resp_server.cpp
@@ -12,8 +12,9 @@
 namespace {
 
 constexpr int kBacklog = 511;
-constexpr std::size_t kMostUnwritten = 64 * 1024;  // of replies: a slow reader is read no further
-constexpr std::size_t kMostUnanswered = 256;       // commands of one connection
+constexpr std::size_t kMostUnwritten =
+    std::size_t{64} * 1024;                   // of replies: a slow reader is read no further
+constexpr std::size_t kMostUnanswered = 256;  // commands of one connection
 constexpr Micros kAdmitAgain = std::chrono::milliseconds(20);
 constexpr Micros kUnfinished =
     std::chrono::seconds(5);  // a command with no byte for so long gives way to a new client
--- a/src/node/main.cpp
+++ b/src/node/main.cpp
@@ -38,7 +38,8 @@
 }  // namespace
 
 int main() {
-  using namespace indigosaddle;
+  namespace node = indigosaddle::node;
+  namespace net = indigosaddle::net;
   std::signal(SIGPIPE, SIG_IGN);
   try {
     const node::Config config = node::LoadConfig(node::EdgeEnvironment());
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -92,7 +92,7 @@
   std::deque<state::Event> events_;
   std::vector<state::Event> decisions_;  // of the present turn
   state::Effects later_;                 // told to the module when a failed journal write is tried again
-  bool turn_due_ = false, in_turn_ = false, stopping_ = false, journal_failed_ = false;
+  bool turn_due_ = false, stopping_ = false, journal_failed_ = false;
   Micros stop_listening_at_{0};
   Micros now_{0}, wake_at_{0};  // of the last turn; for the next, as the module asked
   std::array<std::uint64_t, static_cast<std::size_t>(state::kLastEnding) + 1> endings_{};
