Clients bounded by the told memory too; order across a restart and unfinished commands tested

A node told little memory would have let its clients' buffers pass it: connections were bounded by descriptors only.

--- a/src/net/resp_server.h
+++ b/src/net/resp_server.h
@@ -13,6 +13,10 @@
 
 namespace indigosaddle::net {
 
+// What one client's connection may hold: an unfinished command, bytes not yet followed, replies not yet
+// taken.
+constexpr std::size_t kMostConnectionBytes = std::size_t{200} * 1024;
+
 class RespServer {
  public:
   class Handler {
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -13,9 +13,9 @@
 
 // A planned restart kills no sooner than 3.7 s after its signal. Clients are left while the node still
 // listens, so that one whose request crosses the closing finds it once more.
-constexpr Micros kLeaveClientsAfter = milliseconds(2700);
-constexpr Micros kStopListeningAfter = milliseconds(3000);
-constexpr Micros kFinishAfter = milliseconds(3300);
+constexpr Micros kLeaveClientsAfter = milliseconds(3000);
+constexpr Micros kStopListeningAfter = milliseconds(3200);
+constexpr Micros kFinishAfter = milliseconds(3400);
 constexpr Micros kLeaveAgain = milliseconds(10);
 constexpr Micros kJournalAgain = milliseconds(50);
 constexpr Micros kReportEvery = seconds(10);
@@ -28,6 +28,12 @@
   return std::max(2 * kLeastConnections, sockets > kOwnDescriptors ? sockets - kOwnDescriptors : 0) / 2;
 }
 
+// Clients also within half of the memory, if all of them held as much as they may.
+std::size_t Clients(const Config& config) {
+  const std::size_t held = config.memory_bytes / 2 / net::kMostConnectionBytes;
+  return std::clamp(held, kLeastConnections, Connections(config.sockets));
+}
+
 state::Limits LimitsOf(const Config& config) {
   return {static_cast<std::size_t>(std::max(0, config.settings.max_open)), config.disk_bytes, config.classes,
           config.tenants};
@@ -51,7 +57,7 @@
           loop, {config_.connect_timeout, config_.settings.idle_close, Connections(config_.sockets)},
           [this](std::uint64_t serial) { return brain_->MayStillStart(serial, loop_.Now()); },
           [this](const net::CallResult& result) { OnCallEnded(result); }),
-      server_(loop, *this, Connections(config_.sockets)),
+      server_(loop, *this, Clients(config_)),
       discovery_(loop, *this, config_.discovery),
       notices_(loop, *this, config_.discovery),
       turn_timer_(loop, [this] { Wake(); }),
@@ -106,8 +112,8 @@
   uv_check_start(&check_, turn);
   discovery_.Start();
   report_timer_.Start(kReportEvery);
-  log_.Info("{} serves on {}: {} connections each way, {} bytes of journal", config_.name, server_.address(),
-            Connections(config_.sockets), config_.disk_bytes);
+  log_.Info("{} serves on {}: {} clients, {} connections for calls, {} bytes of journal", config_.name,
+            server_.address(), Clients(config_), Connections(config_.sockets), config_.disk_bytes);
   return true;
 }
 
--- a/tests/net_test.cpp
+++ b/tests/net_test.cpp
@@ -96,14 +96,15 @@
 
 TEST(Enqueue, TakesTheFieldsAndLeavesTheRestAsItCame) {
   Enqueue e;
-  EXPECT_EQ(
-      ParseEnqueue({"ENQUEUE", "0", "9b1f", "c=notice,t=acme,d=8000.5,k=5c0f,dest=7,r=1,again=1,x=", "B\r\n"},
-                   e),
-      "");
+  EXPECT_EQ(ParseEnqueue({"ENQUEUE", "0", "9b1f",
+                          "c=notice,t=acme,d=8000.5,k=5c0f,thread=o1,dest=7,r=1,again=1,x=", "B\r\n"},
+                         e),
+            "");
   EXPECT_EQ(e.id, "9b1f");
   EXPECT_EQ(e.message_class, "notice");
   EXPECT_EQ(e.tenant, "acme");
   EXPECT_EQ(e.idempotency_key, "5c0f");
+  EXPECT_EQ(e.order_key, "o1");
   EXPECT_EQ(e.time_left, Micros(8000500));
   EXPECT_EQ(e.destination, 7u);
   EXPECT_EQ(e.body, "B\r\n");
--- a/tests/node_test.cpp
+++ b/tests/node_test.cpp
@@ -377,6 +377,35 @@
   EXPECT_FALSE(node.Ended());
 }
 
+TEST_F(NodeTest, CommandsThatNeverEndGiveWayToANewClient) {
+  node.config["limits"]["sockets"] = 96;
+  ASSERT_TRUE(node.Start());
+  std::vector<ClientStandIn> crowd;
+  for (int i = 0; i < 40; ++i) ASSERT_TRUE(crowd.emplace_back(node.port).Write("*5\r\n$7\r\nENQ"));
+  ClientStandIn late(node.port);
+  EXPECT_EQ(late.Ask(ClientStandIn::Command({"PING"})), "+PONG");
+}
+
+TEST_F(NodeTest, AKeysMessagesGoInTheOrderTakenAcrossARestart) {
+  std::atomic<bool> hang{true};
+  EndpointStandIn endpoint(
+      [&](Socket& s, const HttpRequest&, int) { return hang ? Hang(s) : s.Write(Answer(200)); });
+  platform.Set(PlatformStandIn::Member("s-1", endpoint.address(), 7));
+  for (Json& c : node.config["settings"]["classes"]) c["sequential"] = true;
+  ASSERT_TRUE(node.Start());
+  const std::vector<std::string> ids = {"a", "b", "c", "d"};
+  for (const std::string& id : ids) ASSERT_EQ(Enqueue(id, "c=keyed,d=60000,thread=t1,dest=7"), "+OK");
+  ASSERT_TRUE(Eventually([&] { return endpoint.CallsFor("a") == 1; }));
+  node.Kill(SIGKILL);
+  EXPECT_EQ(endpoint.calls().size(), 1u);  // the rest waited for their turn
+  hang = false;
+  ASSERT_TRUE(node.Start());
+  ASSERT_TRUE(Eventually([&] { return endpoint.calls().size() == 5; }));
+  std::vector<std::string> order;
+  for (const HttpRequest& call : endpoint.calls()) order.push_back(call.headers.at("x-trace-id"));
+  EXPECT_EQ(order, (std::vector<std::string>{"a", "a", "b", "c", "d"}));
+}
+
 TEST_F(NodeTest, ASlowReaderIsHeldBackAndOthersServed) {
   ListSettler();
   ASSERT_TRUE(node.Start());
