--- a/src/net/call_pool.cpp
+++ b/src/net/call_pool.cpp
@@ -20,7 +20,10 @@
 // on its way must arrive in time.
 constexpr Micros kIdleMargin = std::chrono::milliseconds(500);
 constexpr Micros kSweepEvery = std::chrono::milliseconds(250);
+// An answer that has begun comes whole within so long, or is taken for what has come of it.
+constexpr Micros kAnswerPatience = std::chrono::milliseconds(500);
 constexpr double kMostWaitMillis = 1e9;
+constexpr double kMostReported = 1e9;  // of a load report's figures: more is rubbish
 
 std::optional<double> ParseNumber(std::string_view text) {
   while (!text.empty() && text.front() == ' ') text.remove_prefix(1);
@@ -43,6 +46,7 @@
   return text += request.body;
 }
 
+// A report with a part that can't be read is not believed in any.
 LoadReport ParseLoad(std::string_view text) {
   LoadReport report;
   while (!text.empty()) {
@@ -51,9 +55,9 @@
     text.remove_prefix(comma == std::string_view::npos ? text.size() : comma + 1);
     while (!pair.empty() && pair.front() == ' ') pair.remove_prefix(1);
     const std::size_t equals = pair.find('=');
-    if (equals == std::string_view::npos) continue;
+    if (equals == std::string_view::npos) return {};
     const auto value = ParseNumber(pair.substr(equals + 1));
-    if (!value) continue;
+    if (!value || *value < 0 || *value > kMostReported) return {};
     if (pair.substr(0, equals) == "x0") report.left = *value;
     if (pair.substr(0, equals) == "x1") report.limit = *value;
   }
@@ -62,25 +66,27 @@
 
 class CallPool::Connection : public Stream::Listener {
  public:
-  Connection(CallPool& pool, std::string dial)
+  Connection(CallPool& pool, std::string host, std::string dial)
       : pool_(pool),
+        host_(std::move(host)),
         dial_(std::move(dial)),
         reader_(kMostAnswerBody),
         stream_(pool.loop_, *this),
         timeout_(pool.loop_, [this] { OnTimeout(); }),
-        connect_(pool.loop_, [this] { End(Ending::kNeverUp); }) {}
+        phase_(pool.loop_, [this] { OnPhaseOver(); }) {}
 
+  const std::string& host() const { return host_; }
   const std::string& dial() const { return dial_; }
   Micros idle_since() const { return idle_since_; }
-  bool ended_unread() const { return stream_.ended_unread(); }
+  bool silent() const { return stream_.silent(); }
 
   // The call's end comes later, through Finished, in every case.
   void Begin(const CallRequest& request, bool connect) {
     serial_ = request.serial;
     bytes_ = FormatCall(request);
     began_ = pool_.loop_.Now();
-    busy_ = true;
-    sent_ = false;
+    use_ = Use::kCall;
+    sent_ = begun_ = false;
     reader_.Reset();
     timeout_.Start(request.timeout);
     if (!connect) return Send();
@@ -90,22 +96,29 @@
                                                             : Ending::kNeverUp;
       return timeout_.Start(Micros(0));
     }
-    if (pool_.limits_.connect_timeout > Micros(0)) connect_.Start(pool_.limits_.connect_timeout);
+    if (pool_.limits_.connect_timeout > Micros(0)) phase_.Start(pool_.limits_.connect_timeout);
   }
 
-  void Rest() {
-    busy_ = false;
+  void Rest(bool idle) {
+    use_ = idle ? Use::kIdle : Use::kRest;
     idle_since_ = pool_.loop_.Now();
     timeout_.Stop();
+    if (idle) {
+      phase_.Stop();
+    } else {
+      phase_.Start(kAnswerPatience);
+    }
   }
 
  private:
+  enum class Use : std::uint8_t { kCall, kRest, kIdle };
+
   void OnConnected(int error) override {
-    connect_.Stop();
+    phase_.Stop();
     if (error != 0) return End(error == UV_ECONNREFUSED ? Ending::kRefused : Ending::kNeverUp);
     up_ = true;
     if (stream_.StartReading() != 0) return End(Ending::kBrokenBeforeSent);
-    if (!pool_.may_start_(serial_)) return pool_.Finished(*this, Result_(Ending::kNotStarted), true);
+    if (!pool_.may_start_(serial_)) return pool_.Finished(*this, Result_(Ending::kNotStarted), After::kReuse);
     Send();
   }
 
@@ -120,35 +133,61 @@
 
   void OnDrained() override { sent_ = true; }
 
+  // A call is settled by its answer's head once that is in, or by its first line alone where that says 200.
+  // The body means nothing; but where the head is no 200, one that does not come as told makes it doubtful.
   void OnBytes(std::string_view bytes) override {
-    if (!busy_) return pool_.IdleEnded(*this);  // an answer to nothing
+    if (use_ == Use::kIdle) return pool_.IdleEnded(*this);  // an answer to nothing
     const bool good = reader_.Take(bytes);
-    if (!good && !reader_.done())
-      return End(reader_.status() == 200 ? Ending::kDelivered : Ending::kUnreadable);
-    if (reader_.done()) return Answered(good && reader_.keep_alive() && sent_);
-    // A body that only the connection's end would end means nothing more: it is not waited for.
-    if (reader_.head_done() && reader_.ends_with_connection()) Answered(false);
+    const bool reusable = good && reader_.done() && reader_.keep_alive() && sent_;
+    if (use_ == Use::kRest) {
+      if (reader_.done() || !good) pool_.RestEnded(*this, reusable);
+      return;
+    }
+    if (reader_.done()) return Answered(reusable ? After::kReuse : After::kClose);
+    if (!good) return Spoilt();
+    if (reader_.head_done()) {
+      // A body that only the connection's end would end is not waited for.
+      if (reader_.ends_with_connection()) return Answered(After::kClose);
+      if (reader_.status() == 200) return Answered(sent_ ? After::kAwaitRest : After::kClose);
+    }
+    const bool before = std::exchange(begun_, reader_.begun());
+    if (before == begun_) return;
+    if (begun_) {
+      phase_.Start(kAnswerPatience);
+    } else {
+      phase_.Stop();  // so far 1xx alone
+    }
   }
 
   void OnEnd(int) override {
-    if (!busy_) return pool_.IdleEnded(*this);
+    if (use_ == Use::kIdle) return pool_.IdleEnded(*this);
+    if (use_ == Use::kRest) return pool_.RestEnded(*this, false);
     reader_.TakeEnd();
-    if (reader_.head_done()) return Answered(false);
+    if (reader_.done()) return Answered(After::kClose);
     if (reader_.status() == 200) return End(Ending::kDelivered);
-    if (reader_.status() != 0) return End(Ending::kBrokenMidAnswer);
+    if (begun_) return End(Ending::kBrokenMidAnswer);
     End(sent_ ? Ending::kBrokenAfterSent : Ending::kBrokenBeforeSent);
   }
 
   void OnTimeout() {
-    if (!busy_) return;
+    if (use_ != Use::kCall) return;
     if (failure_) return End(*failure_);
     if (!up_) return End(Ending::kNeverUp);
     if (!sent_) return End(Ending::kBrokenBeforeSent);
-    if (reader_.head_done()) return Answered(false);
-    End(reader_.status() == 200 ? Ending::kDelivered : Ending::kTimedOut);
+    if (begun_) return Spoilt();
+    End(Ending::kTimedOut);
+  }
+
+  void OnPhaseOver() {
+    if (use_ == Use::kRest) return pool_.RestEnded(*this, false);
+    if (use_ != Use::kCall) return;
+    if (!up_) return End(Ending::kNeverUp);
+    Spoilt();
   }
 
-  void Answered(bool reusable) {
+  void Spoilt() { End(reader_.status() == 200 ? Ending::kDelivered : Ending::kUnreadable); }
+
+  void Answered(After after) {
     CallResult result = Result_(state::EndingOf(reader_.status(), reader_.header("x-no-slot") == "1"));
     if (result.ending == Ending::kToldToWait || result.ending == Ending::kTurnedAway) {
       const double millis = ParseNumber(reader_.header("x-retry-in-ms")).value_or(0);
@@ -156,24 +195,25 @@
           std::chrono::duration<double, std::milli>(std::clamp(millis, 0.0, kMostWaitMillis)));
     }
     result.load = ParseLoad(reader_.header("endpoint-load-metrics"));
-    pool_.Finished(*this, result, reusable);
+    pool_.Finished(*this, result, after);
   }
 
-  void End(Ending ending) { pool_.Finished(*this, Result_(ending), false); }
+  void End(Ending ending) { pool_.Finished(*this, Result_(ending), After::kClose); }
 
   CallResult Result_(Ending ending) const {
     return {serial_, ending, pool_.loop_.Now() - began_, Micros(0), {}};
   }
 
   CallPool& pool_;
-  const std::string dial_;
+  const std::string host_, dial_;
   HttpReader reader_;
   Stream stream_;
-  Timer timeout_, connect_;
+  Timer timeout_, phase_;  // phase: connecting, an answer that has begun, or the rest of one
   std::uint64_t serial_ = 0;
   std::string bytes_;
   Micros began_{0}, idle_since_{0};
-  bool busy_ = false, up_ = false, sent_ = false;
+  Use use_ = Use::kIdle;
+  bool up_ = false, sent_ = false, begun_ = false;  // begun: the answer
   std::optional<Ending> failure_;  // known when the call began; told by the timer, never from within Start
 };
 
@@ -191,11 +231,11 @@
 CallPool::~CallPool() = default;
 
 void CallPool::Start(const CallRequest& request) {
-  std::unique_ptr<Connection> connection = TakeIdle(request.dial);
+  std::unique_ptr<Connection> connection = TakeIdle(request.host, request.dial);
   const bool connect = connection == nullptr;
   if (connect) {
     if (connections() >= limits_.most_connections) DropOldestIdle();
-    connection = std::make_unique<Connection>(*this, request.dial);
+    connection = std::make_unique<Connection>(*this, request.host, request.dial);
     ++opened_;
   }
   Connection* raw = connection.get();
@@ -203,21 +243,34 @@
   raw->Begin(request, connect);
 }
 
-void CallPool::Finished(Connection& connection, const CallResult& result, bool reusable) {
+void CallPool::Finished(Connection& connection, const CallResult& result, After after) {
   auto node = busy_.extract(&connection);
   if (node.empty()) return;
-  if (reusable) {
-    connection.Rest();
-    idle_[connection.dial()].push_back(std::move(node.mapped()));
-    ++idle_count_;
+  if (after == After::kReuse) {
+    KeepIdle(std::move(node.mapped()));
+  } else if (after == After::kAwaitRest) {
+    connection.Rest(false);
+    rest_.insert(std::move(node));
   } else {
     Bury(std::move(node.mapped()));
   }
   ended_(result);
 }
 
+void CallPool::RestEnded(Connection& connection, bool reusable) {
+  auto node = rest_.extract(&connection);
+  if (node.empty()) return;
+  reusable ? KeepIdle(std::move(node.mapped())) : Bury(std::move(node.mapped()));
+}
+
+void CallPool::KeepIdle(std::unique_ptr<Connection> connection) {
+  connection->Rest(true);
+  idle_[connection->host()].push_back(std::move(connection));
+  ++idle_count_;
+}
+
 void CallPool::IdleEnded(Connection& connection) {
-  Idle& idle = idle_[connection.dial()];
+  Idle& idle = idle_[connection.host()];
   const auto it =
       std::find_if(idle.begin(), idle.end(), [&](const auto& c) { return c.get() == &connection; });
   if (it == idle.end()) return;
@@ -226,18 +279,17 @@
   --idle_count_;
 }
 
-// Not one that the other side has closed: a call on it would end as a reset, and might seem to have run.
-std::unique_ptr<CallPool::Connection> CallPool::TakeIdle(const std::string& dial) {
-  const auto it = idle_.find(dial);
-  std::unique_ptr<Connection> connection;
-  while (it != idle_.end() && !it->second.empty() && (connection == nullptr || connection->ended_unread())) {
-    connection = std::move(it->second.back());
+// Only one on which nothing lies: not one that the other side has closed, where a call would end as a reset
+// and might seem to have run, nor one with unread bytes, which would be taken for the next call's answer.
+std::unique_ptr<CallPool::Connection> CallPool::TakeIdle(const std::string& host, const std::string& dial) {
+  const auto it = idle_.find(host);
+  while (it != idle_.end() && !it->second.empty()) {
+    std::unique_ptr<Connection> connection = std::move(it->second.back());
     it->second.pop_back();
     --idle_count_;
+    if (connection->dial() == dial && !Stale(*connection) && connection->silent()) return connection;
   }
-  if (connection == nullptr || connection->ended_unread()) return nullptr;
-  if (Stale(*connection)) return nullptr;  // the rest are older still; the sweep takes them
-  return connection;
+  return nullptr;
 }
 
 bool CallPool::Stale(const Connection& connection) const {
@@ -257,8 +309,8 @@
   --idle_count_;
 }
 
-void CallPool::CloseIdle(const std::string& dial) {
-  const auto it = idle_.find(dial);
+void CallPool::CloseIdle(const std::string& host) {
+  const auto it = idle_.find(host);
   if (it == idle_.end()) return;
   idle_count_ -= it->second.size();
   idle_.erase(it);
--- a/src/net/call_pool.h
+++ b/src/net/call_pool.h
@@ -42,17 +42,21 @@
   ~CallPool();
 
   void Start(const CallRequest& request);
-  void CloseIdle(const std::string& dial);
-  std::size_t connections() const { return busy_.size() + idle_count_; }
+  void CloseIdle(const std::string& host);
+  std::size_t connections() const { return busy_.size() + rest_.size() + idle_count_; }
   std::size_t opened() const { return opened_; }
 
  private:
   class Connection;
   using Idle = std::vector<std::unique_ptr<Connection>>;  // the latest used is last
+  using Owned = std::map<Connection*, std::unique_ptr<Connection>>;
+  enum class After : std::uint8_t { kReuse, kAwaitRest, kClose };  // what becomes of a call's connection
 
-  void Finished(Connection& connection, const CallResult& result, bool reusable);
+  void Finished(Connection& connection, const CallResult& result, After after);
+  void RestEnded(Connection& connection, bool reusable);
+  void KeepIdle(std::unique_ptr<Connection> connection);
   void IdleEnded(Connection& connection);
-  std::unique_ptr<Connection> TakeIdle(const std::string& dial);
+  std::unique_ptr<Connection> TakeIdle(const std::string& host, const std::string& dial);
   bool Stale(const Connection& connection) const;
   void DropOldestIdle();
   void CloseStale();
@@ -62,8 +66,8 @@
   Limits limits_;
   std::function<bool(std::uint64_t serial)> may_start_;
   std::function<void(const CallResult&)> ended_;
-  std::map<Connection*, std::unique_ptr<Connection>> busy_;
-  std::map<std::string, Idle> idle_;  // by address
+  Owned busy_, rest_;                 // rest: answered, but the answer's body is not all in
+  std::map<std::string, Idle> idle_;  // by endpoint, never by address: a new one may take a gone one's
   std::size_t idle_count_ = 0, opened_ = 0;
   std::vector<std::unique_ptr<Connection>> buried_;  // may still be in one of their callbacks
   Timer sweep_, bury_;
--- a/src/net/discovery.cpp
+++ b/src/net/discovery.cpp
@@ -107,6 +107,16 @@
   if (stream_ == nullptr && !closed_) again_.Start(Micros(0));
 }
 
+void Discovery::Move(std::string address) {
+  address_ = std::move(address);
+  if (closed_) return;
+  version_.reset();  // the new one may count otherwise
+  pause_ = kLeastPause;
+  silence_.Stop();
+  if (stream_ != nullptr) buried_ = std::move(stream_);
+  again_.Start(Micros(0));
+}
+
 void Discovery::Close() {
   closed_ = true;
   stream_.reset();
--- a/src/net/discovery.h
+++ b/src/net/discovery.h
@@ -45,7 +45,8 @@
   Discovery(Loop& loop, Handler& handler, std::string address);
 
   void Start();
-  void Renew();  // at once, where no watch stands
+  void Renew();                    // at once, where no watch stands
+  void Move(std::string address);  // leaves the old one, and asks for the whole list at this one
   void Close();
 
  private:
@@ -59,7 +60,7 @@
 
   Loop& loop_;
   Handler& handler_;
-  const std::string address_;
+  std::string address_;
   HttpReader reader_;
   std::unique_ptr<Stream> stream_, buried_;  // buried: may still be in one of its callbacks
   std::string text_;                         // a line, or the whole list, so far
--- a/src/net/http_reader.cpp
+++ b/src/net/http_reader.cpp
@@ -22,7 +22,7 @@
   http_parser_init(&parser_, HTTP_RESPONSE);
   parser_.data = this;
   status_ = 0;
-  head_done_ = done_ = keep_alive_ = ends_with_connection_ = in_value_ = false;
+  begun_ = head_done_ = done_ = keep_alive_ = ends_with_connection_ = in_value_ = false;
   head_bytes_ = body_bytes_ = 0;
   name_.clear();
   value_.clear();
@@ -35,6 +35,10 @@
   static const http_parser_settings settings = [] {
     http_parser_settings s;
     http_parser_settings_init(&s);
+    s.on_message_begin = [](http_parser* p) {
+      Of(p).begun_ = true;
+      return 0;
+    };
     s.on_status = [](http_parser* p, const char*, std::size_t size) {
       HttpReader& self = Of(p);
       if (!Informational(p->status_code)) self.status_ = static_cast<int>(p->status_code);
@@ -82,6 +86,7 @@
       HttpReader& self = Of(p);
       if (Informational(p->status_code)) {
         self.headers_.clear();
+        self.begun_ = false;
         return 0;
       }
       self.done_ = true;
--- a/src/net/http_reader.h
+++ b/src/net/http_reader.h
@@ -24,6 +24,7 @@
   void TakeEnd();  // the connection's end may be the answer's
 
   int status() const { return status_; }  // 0 until the first line has come
+  bool begun() const { return begun_; }   // an answer that is more than 1xx in front, or may be
   bool head_done() const { return head_done_; }
   bool done() const { return done_; }
   bool keep_alive() const { return keep_alive_; }
@@ -39,7 +40,7 @@
   std::size_t most_body_;
   std::function<void(std::string_view)> on_body_;
   int status_ = 0;
-  bool head_done_ = false, done_ = false, keep_alive_ = false, ends_with_connection_ = false,
+  bool begun_ = false, head_done_ = false, done_ = false, keep_alive_ = false, ends_with_connection_ = false,
        in_value_ = false;
   std::size_t head_bytes_ = 0, body_bytes_ = 0;
   std::string name_, value_;
--- a/src/net/loop.cpp
+++ b/src/net/loop.cpp
@@ -61,6 +61,7 @@
 struct Stream::Handle {
   uv_tcp_t tcp{};
   uv_connect_t connect{};
+  uv_shutdown_t end{};
   Stream* owner = nullptr;
   std::size_t unwritten = 0;
 };
@@ -158,6 +159,11 @@
   return error;
 }
 
+int Stream::EndSending() {
+  return uv_shutdown(&handle_->end, reinterpret_cast<uv_stream_t*>(&handle_->tcp),
+                     [](uv_shutdown_t*, int) {});
+}
+
 std::size_t Stream::unwritten() const { return handle_->unwritten; }
 
 std::size_t Stream::unread() const {
@@ -175,6 +181,14 @@
   return count == 0 || (count < 0 && errno != EAGAIN && errno != EWOULDBLOCK && errno != EINTR);
 }
 
+bool Stream::silent() const {
+  uv_os_fd_t descriptor = -1;
+  char byte = 0;
+  if (uv_fileno(reinterpret_cast<const uv_handle_t*>(&handle_->tcp), &descriptor) != 0) return false;
+  return recv(descriptor, &byte, 1, MSG_PEEK | MSG_DONTWAIT) < 0 &&
+         (errno == EAGAIN || errno == EWOULDBLOCK || errno == EINTR);
+}
+
 bool ParseAddress(const std::string& text, sockaddr_storage& address) {
   const std::size_t colon = text.rfind(':');
   if (colon == std::string::npos) return false;
--- a/src/net/loop.h
+++ b/src/net/loop.h
@@ -81,9 +81,11 @@
   int StartReading();
   void StopReading();
   int Write(std::string bytes);  // a negative code where the connection is known to be broken
+  int EndSending();              // after what was written; the other side may go on
   std::size_t unwritten() const;
   std::size_t unread() const;  // bytes that have come and were not read
   bool ended_unread() const;   // the other side has closed, which was not read yet
+  bool silent() const;         // open, and nothing lies unread
 
  private:
   struct Handle;
--- a/src/net/notices.cpp
+++ b/src/net/notices.cpp
@@ -47,6 +47,15 @@
   Send();
 }
 
+void Notices::Move(std::string address) {
+  address_ = std::move(address);
+  out_ = up_ = false;
+  patience_.Stop();
+  pause_ = kLeastPause;
+  if (stream_ != nullptr) buried_ = std::move(stream_);
+  again_.Start(Micros(0));
+}
+
 void Notices::Close() {
   stream_.reset();
   patience_.Stop();
@@ -57,7 +66,7 @@
   if (lines_.empty() || out_) return;
   out_ = true;
   patience_.Start(kPatience);
-  if (stream_ != nullptr && stream_->ended_unread()) stream_.reset();
+  if (stream_ != nullptr && !stream_->silent()) stream_.reset();
   if (stream_ != nullptr && up_) return Write();
   up_ = false;
   stream_ = std::make_unique<Stream>(loop_, static_cast<Stream::Listener&>(*this));
--- a/src/net/notices.h
+++ b/src/net/notices.h
@@ -32,6 +32,7 @@
   Notices(Loop& loop, Handler& handler, std::string address);
 
   void Post(std::vector<NoticeLine> lines);  // only after the last batch was taken
+  void Move(std::string address);            // what is out is posted again there: that does no harm
   void Close();
 
  private:
@@ -45,7 +46,7 @@
 
   Loop& loop_;
   Handler& handler_;
-  const std::string address_;
+  std::string address_;
   std::vector<NoticeLine> lines_;
   std::vector<std::uint64_t> taken_;  // of the present batch
   std::size_t at_once_ = 0;           // of the lines, in the request that is out
--- a/src/net/resp.cpp
+++ b/src/net/resp.cpp
@@ -50,6 +50,14 @@
   return ParseNumber(line, value) && value >= 0 && value <= most;
 }
 
+std::size_t RespReader::held() const {
+  std::size_t bytes = line_.size();
+  if (!fresh_ && phase_ != Phase::kBroken) {
+    for (const std::string& part : command_) bytes += part.size();
+  }
+  return bytes;
+}
+
 RespReader::Status RespReader::Next(std::string_view& bytes) {
   if (phase_ == Phase::kBroken) return Status::kBroken;
   if (std::exchange(fresh_, false)) {
--- a/src/net/resp.h
+++ b/src/net/resp.h
@@ -21,6 +21,7 @@
   const std::vector<std::string>& command() const { return command_; }  // after kCommand, until Next
   const std::string& trouble() const { return trouble_; }               // after kBroken
   bool between_commands() const { return phase_ == Phase::kArray && line_.empty(); }
+  std::size_t held() const;  // bytes of an unfinished command
 
  private:
   enum class Phase { kArray, kLength, kBulk, kBroken };
@@ -33,7 +34,7 @@
   std::string line_;
   std::vector<std::string> command_;
   std::int64_t left_ = 0, bulk_ = 0;
-  std::size_t size_ = 0;
+  std::size_t size_ = 0;  // of the command's parts, as told
   bool fresh_ = true;
   std::string trouble_;
 };
--- a/src/net/resp_server.cpp
+++ b/src/net/resp_server.cpp
@@ -6,6 +6,7 @@
 #include <cctype>
 #include <deque>
 #include <optional>
+#include <set>
 #include <utility>
 
 namespace indigosaddle::net {
@@ -16,8 +17,17 @@
     std::size_t{64} * 1024;                   // of replies: a slow reader is read no further
 constexpr std::size_t kMostUnanswered = 256;  // commands of one connection
 constexpr Micros kAdmitAgain = std::chrono::milliseconds(20);
-constexpr Micros kUnfinished =
-    std::chrono::seconds(5);  // a command with no byte for so long gives way to a new client
+
+// Every state of a connection has its end (docs/architecture.md). Clients wait 400 ms for an answer.
+constexpr Micros kSweepEvery = std::chrono::milliseconds(100);
+constexpr Micros kSilent = std::chrono::seconds(2);           // since it came, with no byte
+constexpr Micros kQuiet = std::chrono::seconds(2);            // between commands, where room is wanted
+constexpr Micros kStalled = std::chrono::milliseconds(1500);  // within a command, with no further byte
+constexpr Micros kCommand = std::chrono::milliseconds(2500);  // of one command, from its first byte
+constexpr Micros kUntaken = std::chrono::seconds(3);          // replies that the client does not read
+constexpr Micros kLinger = std::chrono::milliseconds(500);    // after its last reply, for the client to leave
+constexpr std::size_t kMostDiscarded = std::size_t{1024} * 1024;  // bytes that come meanwhile
+constexpr Micros kGivesWay = std::chrono::milliseconds(250);      // a stalled command, to a new client
 
 bool Is(const std::string& word, std::string_view upper) {
   return std::equal(word.begin(), word.end(), upper.begin(), upper.end(),
@@ -36,18 +46,42 @@
     return error != 0 ? error : stream_.StartReading();
   }
 
-  void Leave() {  // what still comes before it is destroyed counts for nothing
-    leaving_ = true;
+  void Bury() {  // what still comes before it is destroyed counts for nothing
+    buried_ = true;
     stream_.StopReading();
+    CountUnread(0);
   }
 
   bool Gone() const { return stream_.ended_unread(); }
 
   Micros quiet_since() const { return quiet_since_; }
   bool asked() const { return last_command_ > 0; }
-  bool Quiet() const { return reader_.between_commands() && OwesNothing(); }
-  bool GivesWay() const {
-    return Quiet() || (OwesNothing() && server_.loop_.Now() - quiet_since_ >= kUnfinished);
+  bool Quiet() const { return reader_.between_commands() && OwesNothing() && stream_.unread() == 0; }
+
+  // How readily it gives way to a new client, most readily first; none: not at all.
+  std::optional<int> GivesWay(Micros now) const {
+    if (lingering_) return 0;
+    if (!OwesNothing()) return std::nullopt;
+    if (!reader_.between_commands()) return now - quiet_since_ >= kGivesWay ? std::optional(2) : std::nullopt;
+    return asked() ? 3 : 1;
+  }
+  bool unread() const { return stream_.unread() > 0; }
+
+  // Ends what has lasted too long in its state. May destroy nothing but itself.
+  void Sweep(Micros now, bool room_wanted) {
+    const Micros quiet = now - quiet_since_;
+    if (lingering_) {
+      if (quiet >= kLinger) server_.Drop(id_);
+    } else if (stream_.unwritten() > 0) {
+      if (quiet >= kUntaken) server_.Drop(id_);
+    } else if (!OwesNothing() || leaving_) {
+      return;  // the node's own duty
+    } else if (!reader_.between_commands()) {
+      const bool late = quiet >= kStalled || now - command_since_ >= kCommand;
+      if (late && !unread()) Leave("the command did not end in time");
+    } else if (quiet >= (asked() ? kQuiet : kSilent) && (room_wanted || !asked()) && !unread()) {
+      server_.Drop(id_);
+    }
   }
 
   void Reply(std::uint64_t command, std::string line) {
@@ -59,8 +93,15 @@
 
  private:
   void OnBytes(std::string_view bytes) override {
+    if (buried_) return;
+    if (lingering_) {  // so that the last reply is not lost to a reset
+      discarded_ += bytes.size();
+      if (discarded_ > kMostDiscarded) stream_.StopReading();
+      return;
+    }
     if (leaving_) return;
     quiet_since_ = server_.loop_.Now();
+    if (reader_.between_commands() && backlog_.empty()) command_since_ = quiet_since_;
     backlog_.append(bytes);
     Follow();
   }
@@ -68,9 +109,9 @@
   void OnEnd(int) override { server_.Drop(id_); }
 
   void OnDrained() override {
-    if (leaving_) return server_.Drop(id_);
+    if (buried_ || lingering_) return;
+    if (leaving_) return Flush();
     Follow();
-    Pace();
   }
 
   // Reads commands while their replies find room.
@@ -79,21 +120,46 @@
     while (!rest.empty() && !Congested()) {
       const RespReader::Status status = reader_.Next(rest);
       if (status == RespReader::Status::kNeedsMore) break;
-      ++last_command_;
-      replies_.emplace_back();
       if (status == RespReader::Status::kBroken) {
-        rest = {};
-        leaving_ = true;  // after what was asked before it is answered
-        replies_.back() = "-ERR " + reader_.trouble() + "\r\n";
-        break;
+        backlog_.clear();
+        return Leave(reader_.trouble());
       }
+      ++last_command_;
+      replies_.emplace_back();
       Run(reader_.command());
+      command_since_ = server_.loop_.Now();
     }
     backlog_.erase(0, backlog_.size() - rest.size());
+    if (backlog_.empty()) backlog_.shrink_to_fit();
+    CountUnread(backlog_.size() + reader_.held());
+    if (server_.unread_bytes_ > server_.limits_.unread_bytes && unread_ > 0) {
+      return Leave("too much is being sent at once");
+    }
     Pace();
     Flush();
   }
 
+  // After what was asked before is answered, this is its last reply.
+  void Leave(std::string_view trouble) {
+    leaving_ = true;
+    stream_.StopReading();
+    CountUnread(0);
+    ++last_command_;
+    replies_.emplace_back(fmt::format("-ERR {}\r\n", trouble));
+    Flush();
+  }
+
+  void Linger() {
+    lingering_ = true;
+    quiet_since_ = server_.loop_.Now();
+    if (stream_.EndSending() != 0 || stream_.StartReading() != 0) server_.Drop(id_);
+  }
+
+  void CountUnread(std::size_t bytes) {
+    server_.unread_bytes_ += bytes;
+    server_.unread_bytes_ -= std::exchange(unread_, bytes);
+  }
+
   void Run(const std::vector<std::string>& command) {
     if (Is(command[0], "PING")) {
       replies_.back() = command.size() > 2    ? "-ERR PING takes at most one word\r\n"
@@ -113,9 +179,7 @@
     server_.handler_.OnEnqueue(id_, last_command_, std::move(enqueue));
   }
 
-  bool OwesNothing() const {
-    return replies_.empty() && backlog_.empty() && stream_.unwritten() == 0 && stream_.unread() == 0;
-  }
+  bool OwesNothing() const { return replies_.empty() && backlog_.empty() && stream_.unwritten() == 0; }
 
   bool Congested() const {
     return leaving_ || stream_.unwritten() > kMostUnwritten || replies_.size() > kMostUnanswered;
@@ -141,8 +205,8 @@
     }
     quiet_since_ = server_.loop_.Now();
     if (!out.empty() && stream_.Write(std::move(out)) != 0) return server_.Drop(id_);
-    if (leaving_ && replies_.empty() && stream_.unwritten() == 0) return server_.Drop(id_);
-    if (!reading_ && !Congested()) Resume();
+    if (leaving_ && !lingering_ && replies_.empty() && stream_.unwritten() == 0) return Linger();
+    if (!leaving_ && !reading_ && !Congested()) Resume();
   }
 
   void Resume() {
@@ -157,16 +221,20 @@
   std::string backlog_;                             // read, not yet followed
   std::deque<std::optional<std::string>> replies_;  // in the order asked; the last is for last_command_
   std::uint64_t last_command_ = 0;
-  Micros quiet_since_;
-  bool reading_ = true, leaving_ = false;
+  Micros quiet_since_, command_since_{0};  // latest byte or reply; first byte of the present command
+  std::size_t unread_ = 0, discarded_ = 0;
+  bool reading_ = true, leaving_ = false, lingering_ = false, buried_ = false;
 };
 
-RespServer::RespServer(Loop& loop, Handler& handler, std::size_t most_connections)
+RespServer::RespServer(Loop& loop, Handler& handler, Limits limits)
     : loop_(loop),
       handler_(handler),
-      most_connections_(most_connections),
+      limits_(limits),
       bury_(loop, [this] { buried_.clear(); }),
-      admit_(loop, [this] { Admit(); }) {}
+      admit_(loop, [this] { Admit(); }),
+      sweep_(loop, [this] { Sweep(); }) {
+  sweep_.Start(kSweepEvery);
+}
 
 RespServer::~RespServer() { StopListening(); }
 
@@ -216,19 +284,7 @@
 // libuv listens no further until the waiting client is accepted, so a full house costs no spinning.
 void RespServer::Admit() {
   if (!waiting_ || listener_ == nullptr) return;
-  if (connections_.size() >= most_connections_) {
-    auto oldest = connections_.end();
-    for (auto it = connections_.begin(); it != connections_.end(); ++it) {
-      if (!it->second->GivesWay()) continue;
-      if (oldest == connections_.end() || it->second->quiet_since() < oldest->second->quiet_since())
-        oldest = it;
-    }
-    if (oldest == connections_.end()) return admit_.Start(kAdmitAgain);
-    // At once: its descriptor is needed before this pass of the loop is over.
-    const std::uint64_t gone = oldest->first;
-    connections_.erase(oldest);
-    handler_.OnClientGone(gone);
-  }
+  if (connections_.size() >= limits_.connections && !MakeRoom()) return admit_.Start(kAdmitAgain);
   waiting_ = false;
   const std::uint64_t id = ++last_connection_;
   auto connection = std::make_unique<Connection>(*this, id);
@@ -239,6 +295,45 @@
   connections_.emplace(id, std::move(connection));
 }
 
+// Closes who gives way most readily, the longest quiet of these, at once: its descriptor is needed before
+// this pass of the loop is over. False where nobody does.
+bool RespServer::MakeRoom() {
+  const Micros now = loop_.Now();
+  std::set<std::uint64_t> busy;  // looked as if they gave way, but have sent something
+  while (true) {
+    auto best = connections_.end();
+    std::pair<int, Micros> best_rank;
+    for (auto it = connections_.begin(); it != connections_.end(); ++it) {
+      const std::optional<int> way = it->second->GivesWay(now);
+      if (!way || busy.contains(it->first)) continue;
+      const std::pair rank(*way, it->second->quiet_since());
+      if (best == connections_.end() || rank < best_rank) best = it, best_rank = rank;
+    }
+    if (best == connections_.end()) return false;
+    const std::uint64_t id = best->first;
+    if (best_rank.first > 0 && best->second->unread()) {
+      busy.insert(id);
+      continue;
+    }
+    best->second->Bury();
+    connections_.erase(best);
+    handler_.OnClientGone(id);
+    return true;
+  }
+}
+
+void RespServer::Sweep() {
+  const Micros now = loop_.Now();
+  const bool room_wanted = 2 * connections_.size() > limits_.connections;
+  std::vector<std::uint64_t> all;
+  all.reserve(connections_.size());
+  for (const auto& [id, connection] : connections_) all.push_back(id);
+  for (std::uint64_t id : all) {
+    if (const auto it = connections_.find(id); it != connections_.end()) it->second->Sweep(now, room_wanted);
+  }
+  sweep_.Start(kSweepEvery);
+}
+
 void RespServer::Reply(std::uint64_t connection, std::uint64_t command, std::string line) {
   if (const auto it = connections_.find(connection); it != connections_.end()) {
     it->second->Reply(command, std::move(line));
@@ -262,7 +357,7 @@
 void RespServer::Drop(std::uint64_t connection) {
   auto node = connections_.extract(connection);
   if (node.empty()) return;
-  node.mapped()->Leave();
+  node.mapped()->Bury();
   buried_.push_back(std::move(node.mapped()));
   bury_.Start(Micros(0));
   handler_.OnClientGone(connection);
--- a/src/net/resp_server.h
+++ b/src/net/resp_server.h
@@ -13,10 +13,6 @@
 
 namespace indigosaddle::net {
 
-// What one client's connection may hold: an unfinished command, bytes not yet followed, replies not yet
-// taken.
-constexpr std::size_t kMostConnectionBytes = std::size_t{200} * 1024;
-
 class RespServer {
  public:
   class Handler {
@@ -27,7 +23,12 @@
     virtual void OnClientGone(std::uint64_t connection) = 0;
   };
 
-  RespServer(Loop& loop, Handler& handler, std::size_t most_connections);
+  struct Limits {
+    std::size_t connections = 0;
+    std::size_t unread_bytes = 0;  // of commands not yet followed, on all connections together
+  };
+
+  RespServer(Loop& loop, Handler& handler, Limits limits);
   ~RespServer();
   RespServer(const RespServer&) = delete;
   RespServer& operator=(const RespServer&) = delete;
@@ -46,17 +47,20 @@
   class Connection;
 
   void Admit();
+  bool MakeRoom();
+  void Sweep();
   void Drop(std::uint64_t connection);
 
   Loop& loop_;
   Handler& handler_;
-  std::size_t most_connections_;
+  const Limits limits_;
+  std::size_t unread_bytes_ = 0;
   uv_tcp_t* listener_ = nullptr;  // closed and freed by the loop
   bool waiting_ = false;          // a client that there was no room for
   std::uint64_t last_connection_ = 0;
   std::map<std::uint64_t, std::unique_ptr<Connection>> connections_;
   std::list<std::unique_ptr<Connection>> buried_;  // may still be in one of their callbacks
-  Timer bury_, admit_;
+  Timer bury_, admit_, sweep_;
 };
 
 }  // namespace indigosaddle::net
--- a/src/node/config.cpp
+++ b/src/node/config.cpp
@@ -2,12 +2,14 @@
 
 #include <fmt/format.h>
 
+#include <array>
 #include <charconv>
 #include <cmath>
 #include <cstdlib>
+#include <filesystem>
 #include <fstream>
 #include <nlohmann/json.hpp>
-#include <sstream>
+#include <system_error>
 
 #include "net/loop.h"
 #include "wire/codec.h"
@@ -19,6 +21,7 @@
 using nlohmann::json;
 
 constexpr double kMegabyte = 1e6;
+constexpr std::size_t kMostBytes = std::size_t{4} * 1024 * 1024;  // of the file
 
 std::string Escape(std::string text) {
   for (char& c : text) {
@@ -112,7 +115,9 @@
   Config config;
   config.name = Required(told("EDGE_NAME", "name"), "name");
   config.listen = Required(told("EDGE_LISTEN", "listen"), "listen");
-  config.discovery = Required(told("EDGE_DISCOVERY", "discovery"), "discovery");
+  config.discovery = Text(whole, "discovery");
+  if (config.discovery.empty()) config.discovery = told("EDGE_DISCOVERY", "discovery");
+  Required(config.discovery, "discovery");
   config.state_folder = Required(told("EDGE_STATE", "state"), "EDGE_STATE");
   CheckAddress(config.listen, "listen");
   CheckAddress(config.discovery, "discovery");
@@ -146,6 +151,11 @@
   config.tenants = Names(At(settings, "orgs"));
   config.zones = Names(At(settings, "zones"));
   config.kinds = Names(At(settings, "machineTypes"));
+  config.fixed = {{"name", config.name},
+                  {"listen", config.listen},
+                  {"state", config.state_folder},
+                  {"limits", limits.dump()},
+                  {"settings", settings.dump()}};
   // A call on the sockets carries one message, whatever a kind would take.
   for (KindSettings& kind : config.settings.kinds) kind.per_call = 1;
   return config;
@@ -154,12 +164,20 @@
 Config LoadConfig(const std::map<std::string, std::string>& environment) {
   const auto path = environment.find("EDGE_CONFIG");
   if (path == environment.end() || path->second.empty()) throw ConfigError("EDGE_CONFIG is not set");
+  std::error_code ignored;
+  if (!std::filesystem::is_regular_file(path->second, ignored)) {
+    throw ConfigError(fmt::format("{}: is no file", path->second));
+  }
   std::ifstream file(path->second, std::ios::binary);
   if (!file) throw ConfigError(fmt::format("{}: can't be read", path->second));
-  std::ostringstream text;
-  text << file.rdbuf();
+  std::string text;
+  for (std::array<char, 4096> block{}; text.size() <= kMostBytes && file;) {
+    file.read(block.data(), block.size());
+    text.append(block.data(), static_cast<std::size_t>(file.gcount()));
+  }
+  if (text.size() > kMostBytes) throw ConfigError(fmt::format("{}: is too long", path->second));
   try {
-    return ReadConfig(text.str(), environment);
+    return ReadConfig(text, environment);
   } catch (const ConfigError& error) {
     throw ConfigError(fmt::format("{}: {}", path->second, error.what()));
   }
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -23,16 +23,15 @@
 // Descriptors: what the program needs besides connections, and the shares of the rest.
 constexpr std::size_t kOwnDescriptors = 32;
 constexpr std::size_t kLeastConnections = 16;
+constexpr std::size_t kClientsPart = 60;  // percent; the rest is for calls
+constexpr std::size_t kUnreadPart = 8;  // of the memory, for what clients have begun to send: one in so many
 
-std::size_t Connections(std::size_t sockets) {
-  return std::max(2 * kLeastConnections, sockets > kOwnDescriptors ? sockets - kOwnDescriptors : 0) / 2;
-}
-
-// Clients also within half of the memory, if all of them held as much as they may.
-std::size_t Clients(const Config& config) {
-  const std::size_t held = config.memory_bytes / 2 / net::kMostConnectionBytes;
-  return std::clamp(held, kLeastConnections, Connections(config.sockets));
+std::size_t Connections(const Config& config) {
+  const std::size_t least = 2 * kLeastConnections;
+  return std::max(least, config.sockets > kOwnDescriptors ? config.sockets - kOwnDescriptors : 0);
 }
+std::size_t Clients(const Config& config) { return Connections(config) * kClientsPart / 100; }
+std::size_t Calls(const Config& config) { return Connections(config) - Clients(config); }
 
 state::Limits LimitsOf(const Config& config) {
   return {static_cast<std::size_t>(std::max(0, config.settings.max_open)), config.disk_bytes, config.classes,
@@ -54,10 +53,10 @@
       state_(LimitsOf(config_)),
       brain_(MakeBrain(config_.settings, *this)),
       pool_(
-          loop, {config_.connect_timeout, config_.settings.idle_close, Connections(config_.sockets)},
+          loop, {config_.connect_timeout, config_.settings.idle_close, Calls(config_)},
           [this](std::uint64_t serial) { return brain_->MayStillStart(serial, loop_.Now()); },
           [this](const net::CallResult& result) { OnCallEnded(result); }),
-      server_(loop, *this, Clients(config_)),
+      server_(loop, *this, {Clients(config_), config_.memory_bytes / kUnreadPart}),
       discovery_(loop, *this, config_.discovery),
       notices_(loop, *this, config_.discovery),
       turn_timer_(loop, [this] { Wake(); }),
@@ -113,7 +112,7 @@
   discovery_.Start();
   report_timer_.Start(kReportEvery);
   log_.Info("{} serves on {}: {} clients, {} connections for calls, {} bytes of journal", config_.name,
-            server_.address(), Clients(config_), Connections(config_.sockets), config_.disk_bytes);
+            server_.address(), Clients(config_), Calls(config_), config_.disk_bytes);
   return true;
 }
 
@@ -126,6 +125,24 @@
   finish_timer_.Start(kFinishAfter);
 }
 
+void Node::Reload() {
+  Config next;
+  try {
+    next = LoadConfig(EdgeEnvironment());
+  } catch (const std::exception& error) {
+    return log_.Error("reload: {}; the old configuration goes on", error.what());
+  }
+  for (const auto& [what, value] : next.fixed) {
+    if (config_.fixed.at(what) != value) log_.Warn("reload: {} changes only with a restart", what);
+  }
+  if (next.discovery == config_.discovery) return log_.Info("reload: discovery stays at {}", next.discovery);
+  log_.Info("reload: discovery moves from {} to {}", config_.discovery, next.discovery);
+  config_.discovery = next.discovery;
+  discovery_.Move(next.discovery);
+  notices_.Move(next.discovery);
+  Push(state::ListLost{});
+}
+
 void Node::LeaveClients() {
   const bool last = loop_.Now() >= stop_listening_at_;
   if (last) server_.StopListening();
@@ -233,7 +250,7 @@
   turn_timer_.Start(std::max(Micros(0), wake_at_ - loop_.Now()));
 }
 void Node::Do(state::RenewWatch&) { discovery_.Renew(); }
-void Node::Do(state::CloseIdle& e) { pool_.CloseIdle(e.dial); }
+void Node::Do(state::CloseIdle& e) { pool_.CloseIdle(e.endpoint); }
 void Node::Do(state::Note& e) { log_.Info("{}", e.text); }
 
 void Node::Do(state::Reply& e) {
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -29,8 +29,9 @@
   Node(net::Loop& loop, Config config, Logger& log);
   ~Node() override;
 
-  bool Start();  // false: it can't serve, and has said why
-  void Stop();   // ends the loop when all that was read is answered, before a kill would come
+  bool Start();   // false: it can't serve, and has said why
+  void Reload();  // reads the configuration again: the address of discovery and notices may move
+  void Stop();    // ends the loop when all that was read is answered, before a kill would come
 
  private:
   // Host: the module's decisions, as events of the turn.
--- a/src/state/reducer.cpp
+++ b/src/state/reducer.cpp
@@ -176,7 +176,7 @@
         before.insert(std::move(node));
       }
     }
-    for (const auto& [id, gone] : before) effects_.emplace_back(CloseIdle{gone.dial});
+    for (const auto& [id, gone] : before) effects_.emplace_back(CloseIdle{id});
     effects_.emplace_back(std::move(told));
   }
 
@@ -227,10 +227,7 @@
   void operator()(const WantsFailure& e) { Finish(e.serial, End::kFailed, Micros(0)); }
   void operator()(const WantsTimer& e) { effects_.emplace_back(ArmTimer{e.at}); }
   void operator()(const WantsWatch&) { effects_.emplace_back(RenewWatch{}); }
-  void operator()(const WantsIdleClosed& e) {
-    const auto listed = state_.listed.find(e.endpoint);
-    if (listed != state_.listed.end()) effects_.emplace_back(CloseIdle{listed->second.dial});
-  }
+  void operator()(const WantsIdleClosed& e) { effects_.emplace_back(CloseIdle{e.endpoint}); }
 
   // Taken records come first: what else this turn recorded may speak of these messages.
   void operator()(const TurnEnded&) {
--- a/src/state/reducer.h
+++ b/src/state/reducer.h
@@ -138,7 +138,7 @@
 };
 struct RenewWatch {};
 struct CloseIdle {
-  std::string dial;
+  EndpointId endpoint;
 };
 struct Note {  // for the log
   std::string text;
--- a/tests/node_parts_test.cpp
+++ b/tests/node_parts_test.cpp
@@ -76,6 +76,10 @@
   environment["EDGE_LISTEN"] = "127.0.0.2:77";
   EXPECT_EQ(ReadConfig(kConfig, environment).name, "n9");
   EXPECT_EQ(ReadConfig(kConfig, environment).listen, "127.0.0.2:77");
+  // But for discovery: the file is what a reload reads again.
+  environment["EDGE_DISCOVERY"] = "127.0.0.3:1";
+  EXPECT_EQ(ReadConfig(kConfig, environment).discovery, "127.0.0.1:8500");
+  EXPECT_EQ(ReadConfig(Edited(R"("discovery":"127.0.0.1:8500",)", ""), environment).discovery, "127.0.0.3:1");
 }
 
 TEST(Config, SaysInOneLineWhatIsWrong) {
--- /dev/null
+++ b/tests/node_service_test.cpp
@@ -0,0 +1,228 @@
+// The built program on other than calm days: new configurations, bad clients, spoilt answers.
+#include <gtest/gtest.h>
+
+#include <string>
+#include <vector>
+
+#include "stand_ins.h"
+
+namespace indigosaddle::testing {
+namespace {
+
+using Json = nlohmann::json;
+
+class ReloadTest : public NodeTest {
+ protected:
+  void MoveTo(const std::string& address) {
+    node.config["discovery"] = address;
+    node.WriteConfig(node.config.dump());
+    node.Signal(SIGHUP);
+  }
+  bool Logged(const std::string& text) {
+    return Eventually([&] { return node.log().find(text) != std::string::npos; });
+  }
+  PlatformStandIn next;
+};
+
+TEST_F(ReloadTest, DiscoveryAndNoticesMoveToTheNewAddress) {
+  EndpointStandIn before, after;
+  platform.Set(PlatformStandIn::Member("s-1", before.address(), 7));
+  next.Set(PlatformStandIn::Member("s-2", after.address(), 8));
+  ASSERT_TRUE(node.Start());
+  ASSERT_EQ(Enqueue("before", "c=safe,d=60000,dest=7"), "+OK");
+  ASSERT_TRUE(Eventually([&] { return before.CallsFor("before") == 1; }));
+  ClientStandIn client(node.port);
+  ASSERT_EQ(client.Ask(ClientStandIn::Command({"PING"})), "+PONG");
+  MoveTo(next.address());
+  ASSERT_TRUE(Eventually([&] { return next.whole_lists() == 1 && next.watches() == 1; }));
+  EXPECT_EQ(client.Ask(ClientStandIn::Enqueue("after", "c=safe,d=60000,dest=8")), "+OK");  // undisturbed
+  EXPECT_TRUE(Eventually([&] { return after.CallsFor("after") == 1; }));
+  EXPECT_EQ(client.Ask(ClientStandIn::Enqueue("late", "c=unsafe,d=100,dest=7")), "+OK");  // gone there
+  EXPECT_TRUE(Eventually([&] { return next.notices().contains("late"); }));
+  EXPECT_TRUE(platform.notices().empty());
+  EXPECT_EQ(before.CallsFor("late"), 0);
+}
+
+TEST_F(ReloadTest, ANoticeThatIsOutIsPostedAgainAtTheNewAddress) {
+  platform.RefuseNotices(500);
+  ASSERT_TRUE(node.Start());
+  ASSERT_EQ(Enqueue("late", "c=unsafe,d=50,dest=7"), "+OK");
+  ASSERT_TRUE(Eventually([&] { return platform.notice_posts() >= 1; }));
+  MoveTo(next.address());
+  EXPECT_TRUE(Eventually([&] { return next.notices().contains("late"); }));
+}
+
+TEST_F(ReloadTest, ABadFileIsSaidAndTheOldConfigurationGoesOn) {
+  ListSettler();
+  ASSERT_TRUE(node.Start());
+  const std::string good = node.config.dump();
+  std::size_t said = 0;
+  for (const std::string& text : {good.substr(0, good.size() / 2), std::string("[]"), std::string()}) {
+    node.WriteConfig(text);
+    node.Signal(SIGHUP);
+    ++said;
+    ASSERT_TRUE(Eventually([&] {
+      std::size_t lines = 0;
+      const std::string log = node.log();
+      for (std::size_t at = 0; (at = log.find("the old configuration goes on", at)) != std::string::npos;
+           ++at)
+        ++lines;
+      return lines == said;
+    }));
+  }
+  std::filesystem::remove(node.folder + "/config.json");
+  node.Signal(SIGHUP);
+  EXPECT_TRUE(Logged("is no file"));
+  node.config["limits"]["sockets"] = 512;
+  MoveTo(platform.address());
+  EXPECT_TRUE(Logged("limits changes only with a restart"));
+  Settle();
+  EXPECT_FALSE(node.Ended());
+}
+
+TEST_F(ReloadTest, OneBeforeItServesIsHeardAfterwards) {
+  ListSettler();
+  ASSERT_TRUE(node.Start(0, SIGHUP));
+  EXPECT_TRUE(Logged("reload: discovery stays"));
+  Settle();
+}
+
+TEST_F(ReloadTest, SeveralInARowAndOneDuringAStopEndNothing) {
+  ListSettler();
+  next.Set(PlatformStandIn::Member("settler", settler.address(), 99));
+  ASSERT_TRUE(node.Start());
+  for (int i = 0; i < 20; ++i) MoveTo(i % 2 == 0 ? next.address() : platform.address());
+  MoveTo(next.address());
+  ASSERT_TRUE(Eventually([&] { return next.watches() >= 1; }));
+  Settle();
+  node.Signal(SIGTERM);
+  MoveTo(platform.address());
+  EXPECT_EQ(node.Wait(), 0);
+}
+
+class BadClients : public NodeTest {
+ protected:
+  void SetUp() override {
+    ListSettler();
+    ASSERT_TRUE(node.Start());
+  }
+};
+
+TEST_F(BadClients, WhoSaysNothingIsLeft) {
+  ClientStandIn silent(node.port);
+  EXPECT_EQ(silent.ReadLine(), "");
+  Settle();
+}
+
+TEST_F(BadClients, WhatNeverEndsIsAnsweredAndLeft) {
+  for (const char* text :
+       {"*", "*5\r\n", "*5\r\n$7\r\nENQ", "*1\r\n$4\r\nPING", "*5\r\n$7\r\nENQUEUE\r\n$65536\r\nx"}) {
+    ClientStandIn half(node.port);
+    ASSERT_TRUE(half.Write(text));
+    EXPECT_EQ(half.ReadLine().substr(0, 4), "-ERR") << text;
+    EXPECT_EQ(half.ReadLine(), "") << text;
+  }
+  Settle();
+}
+
+TEST_F(BadClients, ACommandThatTricklesHasAnEndToo) {
+  ClientStandIn slow(node.port);
+  ASSERT_TRUE(slow.Write("*1\r\n$60000\r\n"));
+  const bool left = Eventually([&] {
+    slow.Write("x");
+    return !slow.socket().Read(std::chrono::milliseconds(100)).empty();
+  });
+  EXPECT_TRUE(left);
+}
+
+// The reply must not be lost because the client was still sending when the connection ended.
+TEST_F(BadClients, AHugeValueIsAnsweredWhileItComes) {
+  ClientStandIn client(node.port);
+  ASSERT_TRUE(client.Write("*5\r\n$7\r\nENQUEUE\r\n$16\r\n0000000000000000\r\n$62914560\r\n"));
+  const std::string block(std::size_t{512} * 1024, 'x');
+  EXPECT_TRUE(client.Write(block));  // more than can lie unread: someone takes it
+  EXPECT_EQ(client.ReadLine().substr(0, 4), "-ERR");
+  EXPECT_EQ(client.ReadLine(), "");
+  Settle();
+}
+
+TEST_F(BadClients, AUsualClientKeepsItsConnectionBetweenRequests) {
+  ClientStandIn client(node.port), silent(node.port);
+  ASSERT_EQ(client.Ask(ClientStandIn::Command({"PING"})), "+PONG");
+  EXPECT_EQ(silent.ReadLine(), "");  // so long has passed
+  EXPECT_EQ(client.Ask(ClientStandIn::Command({"PING"})), "+PONG");
+}
+
+TEST_F(BadClients, ACrowdOfSilentOnesGivesWay) {
+  node.Kill(SIGKILL);
+  node.config["limits"]["sockets"] = 96;
+  ASSERT_TRUE(node.Start(96));
+  ClientStandIn usual(node.port);
+  ASSERT_EQ(usual.Ask(ClientStandIn::Command({"PING"})), "+PONG");
+  std::vector<ClientStandIn> crowd;
+  for (int i = 0; i < 200; ++i) crowd.emplace_back(node.port);
+  ClientStandIn late(node.port);
+  EXPECT_EQ(late.Ask(ClientStandIn::Command({"PING"})), "+PONG");
+  EXPECT_EQ(usual.Ask(ClientStandIn::Command({"PING"})), "+PONG");  // silent ones go first
+  Settle();
+}
+
+class SpoiltAnswers : public NodeTest {};
+
+// With a first line that says 200 it is delivered at once, whatever the rest claims or never ends.
+TEST_F(SpoiltAnswers, AFirstLineWith200IsTrue) {
+  const std::vector<std::string> answers = {
+      "HTTP/1.1 200 OK\r\nX-Endless: ",
+      "HTTP/1.1 200 OK\r\nContent-Length: 3000000000\r\n\r\nmore",
+      "HTTP/1.1 200 OK\r\nContent-Length: -5\r\n\r\n",
+      "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n",
+      "HTTP/1.1 200 OK\r\n\x01\x02 no header\r\n\r\n",
+      "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 X\r\nA: b\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: "
+      "0\r\n\r\n",
+  };
+  EndpointStandIn endpoint([&](Socket& s, const HttpRequest&, int number) {
+    s.Write(answers[static_cast<std::size_t>(number - 1) % answers.size()]);
+    return Hang(s);
+  });
+  platform.Set(PlatformStandIn::Member("s-1", endpoint.address(), 7));
+  ListSettler();
+  node.config["settings"]["familyInfo"]["callSlots"] = 1;  // a call that stays out would hold up the next
+  ASSERT_TRUE(node.Start());
+  for (std::size_t i = 0; i < answers.size(); ++i) {
+    const std::string id = "m" + std::to_string(i);
+    ASSERT_EQ(Enqueue(id, "c=unsafe,d=30000,dest=7"), "+OK");
+    ASSERT_TRUE(Eventually([&] { return endpoint.CallsFor(id) == 1; })) << id;
+  }
+  Settle();
+  EXPECT_TRUE(platform.notices().empty());
+  EXPECT_EQ(endpoint.calls().size(), answers.size());
+}
+
+// A head other than 200 that comes with what does not fit it may stand for a call that ran.
+TEST_F(SpoiltAnswers, AnyOtherMayHaveRun) {
+  const std::vector<std::string> answers = {
+      "HTTP/1.1 503 X\r\nContent-Length: 3000000000\r\n\r\nmore",
+      "HTTP/1.1 429 X\r\nContent-Length: five\r\n\r\n",
+      "HTTP/1.1 503 X\r\nX-Endless: ",
+      "\x7f\x45\x4c\x46 noise",
+      "HTTP/1.1 2x0 OK\r\nContent-Length: 0\r\n\r\n",
+  };
+  EndpointStandIn endpoint([&](Socket& s, const HttpRequest&, int number) {
+    s.Write(answers[static_cast<std::size_t>(number - 1) % answers.size()]);
+    return Hang(s);
+  });
+  for (std::size_t i = 0; i < answers.size(); ++i) {
+    const std::string name = std::to_string(i);
+    platform.Set(PlatformStandIn::Member("s-" + name, endpoint.address(), static_cast<int>(i)));
+  }
+  ASSERT_TRUE(node.Start());
+  for (std::size_t i = 0; i < answers.size(); ++i) {
+    const std::string name = std::to_string(i);
+    ASSERT_EQ(Enqueue("m" + name, "c=unsafe,d=30000,dest=" + name), "+OK");
+    ASSERT_TRUE(Eventually([&] { return HasNotice("m" + name, "failed"); })) << name;
+  }
+  EXPECT_EQ(endpoint.calls().size(), answers.size());
+}
+
+}  // namespace
+}  // namespace indigosaddle::testing
--- a/tests/node_test.cpp
+++ b/tests/node_test.cpp
@@ -12,30 +12,6 @@
 
 using Json = nlohmann::json;
 
-class NodeTest : public ::testing::Test {
- protected:
-  NodeTest() : node(platform.address()) {}
-
-  std::string Enqueue(const std::string& id, const std::string& names, const std::string& body = "body") {
-    return ClientStandIn(node.port).Ask(ClientStandIn::Enqueue(id, names, body));
-  }
-  bool HasNotice(const std::string& id, const std::string& state) {
-    const auto notices = platform.notices();
-    const auto it = notices.find(id);
-    return it != notices.end() && it->second.front()["state"] == state;
-  }
-  // All that has an effect has shown by the time that a later message is through.
-  void Settle(const std::string& id = "settle") {
-    ASSERT_EQ(Enqueue(id, "c=safe,d=60000,dest=99"), "+OK");
-    ASSERT_TRUE(Eventually([&] { return settler.CallsFor(id) == 1; }));
-  }
-  void ListSettler() { platform.Set(PlatformStandIn::Member("settler", settler.address(), 99)); }
-
-  PlatformStandIn platform;
-  EndpointStandIn settler;
-  NodeProcess node;
-};
-
 TEST_F(NodeTest, AFirstMessageIsDeliveredAsItCame) {
   EndpointStandIn endpoint;
   platform.Set(PlatformStandIn::Member("s-1", endpoint.address(), 7));
--- a/tests/stand_ins.h
+++ b/tests/stand_ins.h
@@ -2,11 +2,8 @@
 // given by the kernel; whoever waits, waits for a condition under one generous limit.
 #pragma once
 
-#include <arpa/inet.h>
 #include <fcntl.h>
 #include <gtest/gtest.h>
-#include <netinet/in.h>
-#include <poll.h>
 #include <signal.h>
 #include <sys/resource.h>
 #include <sys/socket.h>
@@ -33,84 +30,9 @@
 #include <utility>
 #include <vector>
 
-namespace indigosaddle::testing {
-
-using Clock = std::chrono::steady_clock;
-constexpr auto kPatience = std::chrono::seconds(60);
-
-inline bool Eventually(const std::function<bool()>& holds) {
-  const auto end = Clock::now() + kPatience;
-  while (!holds()) {
-    if (Clock::now() > end) return false;
-    std::this_thread::sleep_for(std::chrono::milliseconds(5));
-  }
-  return true;
-}
+#include "sockets.h"
 
-class Socket {
- public:
-  explicit Socket(int descriptor = -1) : descriptor_(descriptor) {}
-  ~Socket() { Close(); }
-  Socket(Socket&& other) noexcept : descriptor_(std::exchange(other.descriptor_, -1)) {}
-  Socket& operator=(Socket&& other) noexcept {
-    Close();
-    descriptor_ = std::exchange(other.descriptor_, -1);
-    return *this;
-  }
-
-  static Socket Listen(int& port) {
-    Socket socket(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0));
-    sockaddr_in at{};
-    at.sin_family = AF_INET;
-    at.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    socklen_t size = sizeof at;
-    if (bind(socket.get(), reinterpret_cast<sockaddr*>(&at), size) != 0 || listen(socket.get(), 128) != 0)
-      abort();
-    getsockname(socket.get(), reinterpret_cast<sockaddr*>(&at), &size);
-    port = ntohs(at.sin_port);
-    return socket;
-  }
-  static Socket Connect(int port) {
-    Socket socket(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0));
-    sockaddr_in to{};
-    to.sin_family = AF_INET;
-    to.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    to.sin_port = htons(static_cast<std::uint16_t>(port));
-    if (connect(socket.get(), reinterpret_cast<sockaddr*>(&to), sizeof to) != 0) socket.Close();
-    return socket;
-  }
-
-  int get() const { return descriptor_; }
-  bool open() const { return descriptor_ >= 0; }
-  void Close() {
-    if (descriptor_ >= 0) close(std::exchange(descriptor_, -1));
-  }
-  void Reset() {  // ends it with a reset instead of an orderly close
-    const linger hard{1, 0};
-    setsockopt(descriptor_, SOL_SOCKET, SO_LINGER, &hard, sizeof hard);
-    Close();
-  }
-  bool Write(std::string_view bytes) const {
-    while (!bytes.empty()) {
-      const ssize_t wrote = send(descriptor_, bytes.data(), bytes.size(), MSG_NOSIGNAL);
-      if (wrote <= 0) return false;
-      bytes.remove_prefix(static_cast<std::size_t>(wrote));
-    }
-    return true;
-  }
-  // More bytes, or nothing at the end of the connection or of the patience.
-  std::string Read(std::chrono::milliseconds patience = kPatience) const {
-    pollfd wait{descriptor_, POLLIN, 0};
-    if (poll(&wait, 1, static_cast<int>(patience.count())) <= 0) return {};
-    std::string bytes(65536, '\0');
-    const ssize_t count = recv(descriptor_, bytes.data(), bytes.size(), 0);
-    bytes.resize(count > 0 ? static_cast<std::size_t>(count) : 0);
-    return bytes;
-  }
-
- private:
-  int descriptor_;
-};
+namespace indigosaddle::testing {
 
 struct HttpRequest {
   std::string line, body;
@@ -209,10 +131,6 @@
   std::thread acceptor_;
 };
 
-inline std::string Answer(int status, const std::string& headers = "") {
-  return "HTTP/1.1 " + std::to_string(status) + " X\r\n" + headers + "Content-Length: 0\r\n\r\n";
-}
-
 // An endpoint: notes every call, and answers the n-th as `react` says. By default it delivers.
 class EndpointStandIn {
  public:
@@ -448,9 +366,14 @@
     std::filesystem::remove_all(folder);
   }
 
+  void WriteConfig(const std::string& text) const {  // in one step, as operators replace it
+    std::ofstream(folder + "/config.new") << text;
+    std::filesystem::rename(folder + "/config.new", folder + "/config.json");
+  }
+
   // Starts it and waits until it serves. False where it ended instead.
-  bool Start(rlim_t descriptors = 0) {
-    std::ofstream(folder + "/config.json") << config.dump();
+  bool Start(rlim_t descriptors = 0, int signal_at_once = 0) {
+    WriteConfig(config.dump());
     const std::string log_path = folder + "/log" + std::to_string(++lives_);
     const std::string state = folder + "/state", path = folder + "/config.json";
     process_ = fork();
@@ -462,6 +385,13 @@
         const rlimit limit{descriptors, descriptors};
         setrlimit(RLIMIT_NOFILE, &limit);
       }
+      if (signal_at_once > 0) {  // pending when the program begins, until it says that it hears
+        sigset_t set;
+        sigemptyset(&set);
+        sigaddset(&set, signal_at_once);
+        sigprocmask(SIG_BLOCK, &set, nullptr);
+        raise(signal_at_once);
+      }
       setenv("EDGE_CONFIG", path.c_str(), 1);
       setenv("EDGE_STATE", state.c_str(), 1);
       execl(INDIGOSADDLE_PROGRAM, INDIGOSADDLE_PROGRAM, static_cast<char*>(nullptr));
@@ -517,4 +447,29 @@
   int status_ = 0, lives_ = 0;
 };
 
+// The world of one test.
+class NodeTest : public ::testing::Test {
+ protected:
+  NodeTest() : node(platform.address()) {}
+
+  std::string Enqueue(const std::string& id, const std::string& names, const std::string& body = "body") {
+    return ClientStandIn(node.port).Ask(ClientStandIn::Enqueue(id, names, body));
+  }
+  bool HasNotice(const std::string& id, const std::string& state) {
+    const auto notices = platform.notices();
+    const auto it = notices.find(id);
+    return it != notices.end() && it->second.front()["state"] == state;
+  }
+  // All that has an effect has shown by the time that a later message is through.
+  void Settle(const std::string& id = "settle") {
+    ASSERT_EQ(Enqueue(id, "c=safe,d=60000,dest=99"), "+OK");
+    ASSERT_TRUE(Eventually([&] { return settler.CallsFor(id) == 1; }));
+  }
+  void ListSettler() { platform.Set(PlatformStandIn::Member("settler", settler.address(), 99)); }
+
+  PlatformStandIn platform;
+  EndpointStandIn settler;
+  NodeProcess node;
+};
+
 }  // namespace indigosaddle::testing
--- a/tests/state_test.cpp
+++ b/tests/state_test.cpp
@@ -499,10 +499,10 @@
   play.Event_(ListLost{});
   EXPECT_EQ(play.All<TellListLost>().size(), 1u);
   play.Event_(WantsIdleClosed{"s-2"});
-  EXPECT_EQ(play.All<CloseIdle>().at(0).dial, "127.0.0.1:2");
+  EXPECT_EQ(play.All<CloseIdle>().at(0).endpoint, "s-2");
   play.effects.clear();
   play.Event_(ListNews{{{{"s-2", 0, 0, 7, EndpointState::kGone}, ""}}, false});
-  EXPECT_EQ(play.All<CloseIdle>().at(0).dial, "127.0.0.1:2");
+  EXPECT_EQ(play.All<CloseIdle>().at(0).endpoint, "s-2");
   EXPECT_EQ(play.state.listed.size(), 1u);
   play.Event_(ListNews{{}, true});  // what is not in it is gone
   EXPECT_TRUE(play.state.listed.empty());
