Messages to what was never listed are handed back; spoilt answers say nothing of health

All others were answered or left in time, so it is not the timers; classes that do not exist were refused already (Node::OnEnqueue). Destinations that do not exist were held to their deadline by Impl::CanStillArrive ("no routes: the list may be behind").

Destinations whose endpoints are gone stay known for a minute, so they are taken as before. Random names leave nothing behind.

A spoilt answer is a result of its own (kGarbled): it may have run, but is no sign of an outage unless four come in a row. Before it counted as an error, and one error puts a lane on trial (Impl::Judge). It should also cover a proxy that garbles some answers; it does harm where garbage is how an outage begins, for three calls.

--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -123,8 +123,9 @@
 
 struct Destination {
   std::vector<Route> routes;
-  Lane shared;   // where endpoints share a limit
-  int held = 0;  // messages that refer to it
+  Lane shared;                   // where endpoints share a limit
+  int held = 0;                  // messages that refer to it
+  Micros listed{Micros::min()};  // latest entry of the list for it, or the list's end without one
 };
 
 struct Call {
@@ -163,12 +164,13 @@
   }
 
   void OnList(const std::vector<Endpoint>& entries, bool whole) override {
-    for (auto& [id, home] : destinations_) {
+    for (auto& [id, home] : destinations_)
       for (Route& route : home.routes)
-        if (whole) route.endpoint.state = EndpointState::kGone;
-    }
+        if (whole) route.endpoint.state = EndpointState::kGone, home.listed = now_;
+    list_told_ |= !entries.empty();
     for (const Endpoint& entry : entries) {
       Destination& home = destinations_[entry.destination];
+      home.listed = now_;
       Route* route = Find(home, entry.id);
       if (route == nullptr) route = &home.routes.emplace_back();
       route->endpoint = entry;
@@ -218,10 +220,7 @@
   }
 
   void OnTurnEnd() override {
-    if (watch_due_ <= now_) {
-      watch_due_ = Micros::max();
-      host_.Watch();
-    }
+    if (watch_due_ <= now_) watch_due_ = Micros::max(), host_.Watch();
     turn_from_call_ = last_call_;
     for (MessageId id : std::exchange(done_, {})) {
       --held_.at(id).home->held;
@@ -485,9 +484,8 @@
 
   void ForgetIdle() {
     sweep_due_ = now_ + kSweepEvery;
-    std::erase_if(keys_, [&](const auto& entry) {
-      return entry.second.order.empty() && entry.second.rest_until <= now_;
-    });
+    std::erase_if(keys_,
+                  [&](auto& key) { return key.second.order.empty() && key.second.rest_until <= now_; });
     for (auto& [id, destination] : destinations_) {
       std::erase_if(destination.routes, [this](Route& route) {
         const bool gone = route.endpoint.state == EndpointState::kGone;
@@ -497,9 +495,10 @@
       });
       Forget(destination.shared, !destination.routes.empty());
     }
-    std::erase_if(destinations_, [](const auto& entry) {
+    std::erase_if(destinations_, [this](const auto& entry) {
       const Destination& home = entry.second;
-      return home.routes.empty() && home.held == 0 && home.shared.used == Micros::min();
+      const bool unused = home.routes.empty() && home.held == 0 && home.shared.used == Micros::min();
+      return unused && home.listed < now_ - kForgetAfter;
     });
   }
 
@@ -518,6 +517,8 @@
   void AnswerWhatIsOver() {
     for (auto& [id, held] : held_) {
       const bool overdue = now_ >= held.message.give_up_at + set_.tick;
+      const bool stray = list_told_ && held.home->listed == Micros::min();  // to what was never on the list
+      if (stray) Answer(held, set_.max_retry_after);
       if (held.out ? overdue : !MayAttempt(held) || !CanStillArrive(held)) Answer(held, Micros(0));
     }
   }
@@ -678,6 +679,7 @@
   Host& host_;
   Micros now_{0}, stop_at_{Micros::max()}, timer_{Micros::max()}, watch_due_{Micros::max()},
       sweep_due_{Micros::min()};
+  bool list_told_ = false;
   int open_ = 0, stale_signs_ = 0;
   std::uint64_t last_call_ = 0, turn_from_call_ = 0;  // calls after that one were opened in this turn
   std::map<MessageId, Held> held_;
@@ -697,16 +699,15 @@
   auto it = held_.find(outcome.id);
   if (it == held_.end() || !it->second.out) return;
   Held& held = it->second;
-  auto call_it = calls_.find(held.call);
-  Call& call = call_it->second;
+  Call& call = calls_.at(held.call);
   Route& route = *Find(*call.home, call.endpoint);  // kept while a call is out
   Lane& lane = LaneOf(route);
   held.out = false;
   const Result result = outcome.result;
-  const bool ok = result == Result::kOk;
+  const bool ok = result == Result::kOk, garbled = result == Result::kGarbled;
   const bool may_run_on =
       result == Result::kTimeout || result == Result::kReset || result == Result::kCancelled;
-  if ((may_run_on || result == Result::kError) && !held.message.past.may_have_run) {
+  if ((may_run_on || garbled || result == Result::kError) && !held.message.past.may_have_run) {
     held.message.past = {held.message.past.attempts, true, call.sent, route.endpoint.zone};
   }
   if (result == Result::kTimeout) ++held.timeouts;
@@ -719,10 +720,10 @@
     lane.lost += kMemory * ((result == Result::kTimeout ? 1 : 0) - lane.lost);
     JudgeConnection(call, route, result, lane.health.bad_run == 0);
     // Against taking a limit for an outage where a sender calls now and then: a refusal with a told limit in
-    // use, a failed connect at a crowded kind. A run of them is not believed.
+    // use, a failed connect at a crowded kind; and where an answer was spoilt. A run of them is not believed.
     const bool in_use = outcome.load.limit > 0 && outcome.load.left >= 0 && outcome.load.left < kLimitInUse;
     const bool limit = result == Result::kFull && in_use;
-    const bool explained = limit || (result == Result::kNoConnection && Crowded(route));
+    const bool explained = limit || garbled || (result == Result::kNoConnection && Crowded(route));
     route.explained = explained ? route.explained + 1 : 0;
     if (!explained || route.explained > (limit ? 1 : kFullTableRun) || lane.health.phase == Phase::kTrial) {
       Judge(lane.health, ok, call.sent);
@@ -745,7 +746,7 @@
       route.idle.push_back(now_);
       freed_.emplace_back(call.home, call.endpoint);
     }
-    calls_.erase(call_it);
+    calls_.erase(held.call);
   }
   outcome.last && !held.ended ? End(held) : Release(held);
 }
--- a/src/brain.h
+++ b/src/brain.h
@@ -93,7 +93,8 @@
   Past past{};
 };
 
-enum class Result { kOk, kError, kFull, kTimeout, kNoConnection, kReset, kCancelled, kNotSent };
+// Garbled: it ran and was answered, but with what can't be read.
+enum class Result { kOk, kError, kFull, kTimeout, kNoConnection, kReset, kCancelled, kNotSent, kGarbled };
 
 struct LoadReport {
   double left = -1;   // share of the limit left; negative: not told
--- a/src/state/ending.cpp
+++ b/src/state/ending.cpp
@@ -17,8 +17,8 @@
     case Ending::kBrokenBeforeSent: return {Result::kNoConnection, false};
     case Ending::kTimedOut: return {Result::kTimeout, false};
     case Ending::kGivenUp: return {Result::kCancelled, false};
-    case Ending::kOtherStatus:
-    case Ending::kUnreadable: return {Result::kError, false};
+    case Ending::kOtherStatus: return {Result::kError, false};
+    case Ending::kUnreadable: return {Result::kGarbled, false};
     case Ending::kBrokenAfterSent:
     case Ending::kBrokenMidAnswer: return {Result::kReset, false};
   }
--- a/src/state/journal.cpp
+++ b/src/state/journal.cpp
@@ -120,7 +120,7 @@
 }
 void Get(Reader& in, Settled& r) {
   r.serial = in.Unsigned();
-  r.result = in.Choice(Result::kNotSent);
+  r.result = in.Choice(Result::kGarbled);
 }
 void Get(Reader& in, Ended& r) {
   r.serial = in.Unsigned();
--- a/tests/brain_trouble_test.cpp
+++ b/tests/brain_trouble_test.cpp
@@ -10,6 +10,79 @@
 
 constexpr Micros kStart = seconds(100);
 
+// A client that names a destination at random is turned away; one whose endpoints are just gone is not.
+TEST(Stray, WhatWasNeverOnTheListIsHandedBack) {
+  TestNode node(BaseSettings());
+  node.Turn(kStart, [&] { node.Take(1, 9); });
+  EXPECT_TRUE(node.answers.empty());  // no list yet
+  node.Turn(kStart + seconds(1), [&] {
+    node.List({TestNode::At(7, "a"), TestNode::At(8, "b")});
+    node.Take(2, 9);
+  });
+  EXPECT_TRUE(node.Refused(1));
+  EXPECT_TRUE(node.Refused(2));
+  EXPECT_EQ(node.refused[2], BaseSettings().max_retry_after);
+  node.Turn(kStart + seconds(2), [&] { node.List({TestNode::At(8, "b")}); });  // 7 is gone
+  for (int i = 3; i < 12; ++i) node.Turn(kStart + seconds(i));                 // past a walk over the list
+  node.Turn(kStart + seconds(12), [&] { node.Take(3, 7); });
+  EXPECT_FALSE(node.answers.contains(3));
+  node.Turn(kStart + seconds(13), [&] { node.List({TestNode::At(7, "c")}, false); });
+  EXPECT_EQ(node.CountSends(3), 1);
+}
+
+TEST(Stray, NamesAtRandomLeaveNothingBehind) {
+  TestNode node(BaseSettings());
+  node.Turn(kStart, [&] { node.List({TestNode::At(7, "a")}); });
+  for (MessageId id = 1; id <= 1000; ++id) {
+    node.Turn(kStart + milliseconds(10) * id, [&] { node.Take(id, 1000 + id); });
+  }
+  node.Turn(kStart + seconds(20));
+  node.Turn(kStart + seconds(21));
+  EXPECT_EQ(node.brain().footprint().messages, 0U);
+  EXPECT_EQ(node.brain().footprint().endpoints, 1U);
+}
+
+// A spoilt answer may have run, but says nothing of health: the destination is not taken for down.
+TEST(Spoilt, OneLeavesItsDestinationServedAndARunDoesNot) {
+  TestNode node(BaseSettings());
+  node.Turn(kStart, [&] { node.List({TestNode::At(7, "a")}); });
+  MessageId id = 0;
+  const auto serve = [&](Micros from, int count, Result result) {
+    for (int i = 0; i < count; ++i) {
+      node.Turn(from + milliseconds(20) * (2 * i), [&] { node.Take(++id, 7); });
+      node.Turn(from + milliseconds(20) * (2 * i + 1), [&] { node.Settle(id, Reply{result}, true); });
+    }
+  };
+  serve(kStart, 20, Result::kOk);
+  serve(kStart + seconds(1), 2, Result::kGarbled);
+  EXPECT_EQ(node.CountSends(22), 1);
+  node.Turn(kStart + seconds(1) + milliseconds(100), [&] {
+    for (int i = 0; i < 3; ++i) node.Take(++id, 7);
+  });
+  EXPECT_EQ(node.CountSends(kStart + seconds(1) + milliseconds(100), kStart + seconds(2)), 3);  // no trial
+  for (MessageId m = 23; m <= 25; ++m) {
+    node.Turn(kStart + seconds(2), [&] { node.Settle(m, Reply{Result::kGarbled}, true); });
+  }
+  node.Turn(kStart + seconds(2) + milliseconds(10), [&] {
+    for (int i = 0; i < 3; ++i) node.Take(++id, 7);
+  });
+  EXPECT_LE(node.CountSends(kStart + seconds(2), kStart + seconds(3)), 1);
+}
+
+// Rule 2: it may have run, so an unsafe message is not sent again.
+TEST(Spoilt, AnUnsafeMessageIsNotRepeated) {
+  Settings s = BaseSettings();
+  s.classes[0].effect = Effect::kUnsafe;
+  TestNode node(s);
+  node.Turn(kStart, [&] {
+    node.List({TestNode::At(7, "a")});
+    node.Take(1, 7);
+  });
+  node.Turn(kStart + milliseconds(10), [&] { node.Settle(1, Result::kGarbled); });
+  EXPECT_TRUE(node.Failed(1));
+  EXPECT_EQ(node.CountSends(1), 1);
+}
+
 TEST(Slots, OneHungDestinationDoesNotTakeThemAll) {
   Settings s = BaseSettings();
   TestNode node(s);
@@ -276,7 +349,7 @@
   s.tenants = {{2.0}, {1000.0}};
   TestNode node(s);
   node.Turn(kStart, [&] {
-    node.List({TestNode::At(7, "a")});
+    node.List({TestNode::At(9, "a", 0, 0, EndpointState::kDraining)});
     for (MessageId id = 1; id <= 12; ++id) node.Take(id, 9, seconds(20), "", 0, 0);   // floods
     for (MessageId id = 13; id <= 20; ++id) node.Take(id, 9, seconds(20), "", 0, 1);  // within its share
   });
--- a/tests/node_service_test.cpp
+++ b/tests/node_service_test.cpp
@@ -146,6 +146,11 @@
   Settle();
 }
 
+TEST_F(BadClients, ADestinationThatNeverWasIsNotTakenOn) {
+  ASSERT_TRUE(Eventually([&] { return Enqueue("m", "c=safe,d=60000,dest=12345").substr(0, 5) == "-BUSY"; }));
+  EXPECT_EQ(Enqueue("n", "c=safe,d=60000,dest=99"), "+OK");
+}
+
 TEST_F(BadClients, AUsualClientKeepsItsConnectionBetweenRequests) {
   ClientStandIn client(node.port), silent(node.port);
   ASSERT_EQ(client.Ask(ClientStandIn::Command({"PING"})), "+PONG");
