--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -723,8 +723,7 @@
     // crowded kind, a spoilt answer, a kept connection that ended under its call.
     const bool in_use = outcome.load.limit > 0 && outcome.load.left >= 0 && outcome.load.left < kLimitInUse;
     const bool limit = result == Result::kFull && in_use;
-    const bool worn =
-        call.idle_for > Micros(0) && (result == Result::kReset || result == Result::kNoConnection);
+    const bool worn = call.idle_for > Micros(0) && result == Result::kReset;
     const bool explained = limit || garbled || worn || (result == Result::kNoConnection && Crowded(route));
     route.explained = explained ? route.explained + 1 : 0;
     if (!explained || route.explained > (limit ? 1 : kFullTableRun) || lane.health.phase == Phase::kTrial)
--- a/tests/brain_trouble_test.cpp
+++ b/tests/brain_trouble_test.cpp
@@ -98,6 +98,21 @@
   EXPECT_LE(burst(kStart + milliseconds(1510)), 1);
 }
 
+// A peer that refuses is down, whatever this node thought it had kept.
+TEST(Worn, AFailedConnectCountsAtOnce) {
+  TestNode node(BaseSettings());
+  node.Turn(kStart, [&] { node.List({TestNode::At(7, "a")}); });
+  for (MessageId id = 1; id <= 5; ++id) {
+    node.Turn(kStart + milliseconds(100) * id, [&] { node.Take(id, 7); });
+    node.Turn(kStart + milliseconds(100) * id + milliseconds(20),
+              [&] { node.Settle(id, Reply{id < 5 ? Result::kOk : Result::kNoConnection}, true); });
+  }
+  node.Turn(kStart + milliseconds(530), [&] {
+    for (MessageId id = 6; id <= 9; ++id) node.Take(id, 7);
+  });
+  EXPECT_LE(node.CountSends(kStart + milliseconds(530), kStart + milliseconds(531)), 1);
+}
+
 TEST(Worn, OnANewConnectionAResetCounts) {
   TestNode node(BaseSettings());
   node.Turn(kStart, [&] {
