--- a/examples/start.sh
+++ b/examples/start.sh
@@ -17,9 +17,11 @@
   kill -0 "${children[0]}" || exit 1
   sleep 0.05
 done
-EDGE_DISCOVERY=$(sed -n 's/^discovery //p' "$work/world")
+discovery=$(sed -n 's/^discovery //p' "$work/world")
+sed "s/127.0.0.1:8500/$discovery/" examples/config.json > "$work/config.json"
 mkdir "$work/state"
-export EDGE_DISCOVERY EDGE_CONFIG=examples/config.json EDGE_STATE="$work/state"
+export EDGE_CONFIG="$work/config.json" EDGE_STATE="$work/state"
+echo "configuration: $EDGE_CONFIG (edit it, then send the node SIGHUP)"
 "$program" &
 children+=($!)
 wait "${children[-1]}"
--- a/tests/node_service_test.cpp
+++ b/tests/node_service_test.cpp
@@ -190,6 +190,24 @@
   Settle();
 }
 
+// All unfinished commands share one bound of bytes, so that a crowd of them is no matter of memory.
+TEST_F(BadClients, UnfinishedCommandsShareABoundOfBytes) {
+  node.Kill(SIGKILL);
+  node.config["limits"]["memory_mb"] = 1;  // an eighth: two of these commands
+  ASSERT_TRUE(node.Start());
+  std::vector<ClientStandIn> crowd;
+  for (int i = 0; i < 12; ++i) {
+    crowd.emplace_back(node.port).Write("*2\r\n$4\r\nPING\r\n$65000\r\n" + std::string(60000, 'x'));
+  }
+  int turned_away = 0;
+  for (ClientStandIn& client : crowd) {
+    turned_away += client.ReadLine() == "-ERR too much is being sent at once";
+    EXPECT_EQ(client.ReadLine(), "");
+  }
+  EXPECT_GE(turned_away, 1);
+  Settle();
+}
+
 // From a fixed seed: whatever is sent, in whatever pieces, the node goes on and each is answered or left.
 TEST_F(BadClients, RandomBytesInRandomPiecesStopNothing) {
   std::mt19937 random(5);
