--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -164,9 +164,10 @@
   }
 
   void OnList(const std::vector<Endpoint>& entries, bool whole) override {
-    for (auto& [id, home] : destinations_)
+    for (auto& [id, home] : destinations_) {
       for (Route& route : home.routes)
         if (whole) route.endpoint.state = EndpointState::kGone, home.listed = now_;
+    }
     list_told_ |= !entries.empty();
     for (const Endpoint& entry : entries) {
       Destination& home = destinations_[entry.destination];
