A kind whose connection tables are full stays known as that; lists' weights are read

Giving connections back (Crowded) cures that, but each made connection lowered the share by 5%, so after 13 of them the kind counted as well again and the tables filled anew. To blame: JudgeConnection, one weight for both. Now it rises by a tenth and falls by a two-hundredth.

The adapter passes on weightKind, heft and caps.retryAfter; nothing decides by them yet (the list's weight is kept in the lane).

--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -59,7 +59,9 @@
 constexpr int kStaleSigns = 3;             // calls lost on old connections, less those answered, that tell
 constexpr Micros kFreshFor = seconds(10);  // then no old connection is used for so long
 constexpr int kFullTableRun = 3;           // failed connects in a row that a full table explains
-constexpr double kCrowdedShare = 0.05;     // failed connects that tell; weight of the newest
+constexpr double kCrowdedShare = 0.05;     // failed connects that tell
+constexpr double kCrowdedRise = 0.1;       // weight of a failed connect in that share
+constexpr double kCrowdedFall = 0.005;     // weight of one that was made
 constexpr Micros kRecheck = milliseconds(20);  // while messages wait, look again this often
 
 double Seconds(Micros t) { return std::chrono::duration<double>(t).count(); }
@@ -98,10 +100,12 @@
 };
 
 struct Lane {
+  explicit Lane(double by_list = 0) : listed(by_list) {}
   Bucket bucket;
   Health health;
   Micros pause_until{Micros::min()}, used{Micros::min()};  // told wait; latest call
   double limit = 0;                                        // told calls a second, all senders; 0: none told
+  double listed;                                           // the same by the list; 0: it says none
   Rate served{kServedSpan};                                // calls
   double peak = 0;                                         // best served rate seen
   double mean = 0, deviation = 0;                          // latency in seconds; 0: none seen
@@ -192,6 +196,8 @@
       const auto kind = static_cast<std::size_t>(entry.kind);
       if (kind < set_.kinds.size()) route->kind = set_.kinds[kind];
       route->home = &home;
+      if (set_.weights != Weights::kNone)
+        (route->kind.separate_routes ? route->own : home.shared).listed = entry.weight;
     }
   }
 
@@ -533,7 +539,8 @@
 
   void Forget(Lane& lane, bool listed) const {
     if (lane.used == Micros::min() || lane.out > 0 || now_ - lane.used <= kForgetAfter) return;
-    if (now_ >= lane.pause_until && (!listed || PhaseOf(lane.health) == Phase::kWarm)) lane = Lane{};
+    if (now_ >= lane.pause_until && (!listed || PhaseOf(lane.health) == Phase::kWarm))
+      lane = Lane(lane.listed);
   }
 
   Lane& LaneOf(Route& route) {
@@ -728,7 +735,8 @@
     const bool lost = result == Result::kTimeout || result == Result::kReset;
     if (call.idle_for <= Micros(0)) {
       double& share = crowded_[route.endpoint.kind];
-      share += kCrowdedShare * ((was_well && result == Result::kNoConnection) - share);
+      const bool full = was_well && result == Result::kNoConnection;
+      share += (full ? kCrowdedRise : kCrowdedFall) * (full - share);  // giving back hides what it cures
     } else if (lost && call.idle_for >= kMoment) {
       stale_after_ = std::min(stale_after_, call.idle_for);
       stale_signs_ = std::min(stale_signs_ + 1, kStaleSigns);
--- a/src/brain.h
+++ b/src/brain.h
@@ -18,6 +18,7 @@
 enum class Group { kAll, kZone, kCell };  // which endpoints of a destination drop a repeat
 enum class Decay { kEven, kByHalf };      // how worth falls after the aim
 enum class Discovery { kPushed, kOnRequest };
+enum class Weights { kNone, kNominal, kRough };  // what lists say of a destination's limit; rough: half off
 
 struct ClassSettings {
   double worth = 0;
@@ -47,6 +48,8 @@
   int max_open = 0;    // 0: not limited
   int max_attempts = 0;
   Discovery discovery = Discovery::kPushed;
+  Weights weights = Weights::kNone;
+  bool retry_advice = true;  // a refusal can say when to come back
   Decay decay = Decay::kEven;
   double over_share_worth = 1;
   double price_cross_zone = 0;
@@ -73,6 +76,7 @@
   int kind = 0;
   std::uint64_t destination = 0;
   EndpointState state = EndpointState::kReady;
+  double weight = 0;  // calls a second that its destination takes, as Settings::weights says
 };
 
 // What was tried before a restart for a message that is resumed after it.
--- a/src/wire/codec.cpp
+++ b/src/wire/codec.cpp
@@ -1,5 +1,6 @@
 #include "wire/codec.h"
 
+#include <algorithm>
 #include <charconv>
 #include <cmath>
 #include <istream>
@@ -75,6 +76,7 @@
   entry.zone = Index(fields, "locality");
   entry.kind = Index(fields, "familyType");
   entry.destination = Destination(fields, "destination");
+  entry.weight = std::max(0.0, fields.Number("heft", 0));
   const std::string_view state = fields.Text("state");
   if (state == "ready") {
     entry.state = EndpointState::kReady;
--- a/src/wire/settings.cpp
+++ b/src/wire/settings.cpp
@@ -66,6 +66,12 @@
   s.max_attempts = Int(fields, "caps.attemptsCap");
   s.discovery = Word<Discovery>(fields, "discovery", Discovery::kPushed,
                                 {{"pushed", Discovery::kPushed}, {"on_request", Discovery::kOnRequest}});
+  s.weights = Word<Weights>(fields, "weightKind", Weights::kNone,
+                            {{"off", Weights::kNone},
+                             {"nominal", Weights::kNominal},
+                             {"rough", Weights::kRough},
+                             {"live", Weights::kNone}});
+  s.retry_advice = fields.Flag("caps.retryAfter", true);
   s.decay = Word<Decay>(fields, "familyInfo.decay", Decay::kEven,
                         {{"even", Decay::kEven}, {"by_half", Decay::kByHalf}});
   s.over_share_worth = fields.Number("overShareWorth", 1);
