Idle connections are kept as long as their price justifies; a newly full kind gives back all

Some 220 senders each kept an idle connection for 15 s at endpoints that take 7 to 15, and each had to fail itself to learn it. To blame: OnTurnEnd gave back crowded kinds alone. Now a connection is kept where this sender is likely to use it again within 100 s x the price of a new one (prices.handshake, not passed on so far; 0 keeps all, as before).

--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -59,6 +59,7 @@
 constexpr int kStaleSigns = 3;             // calls lost on old connections, less those answered, that tell
 constexpr Micros kFreshFor = seconds(10);  // then no old connection is used for so long
 constexpr int kFullTableRun = 3;           // failed connects in a row that a full table explains
+constexpr double kKeepForPrice = 100;      // seconds that a connection is kept unused, for a price of 1
 constexpr double kCrowdedShare = 0.05;     // failed connects that tell
 constexpr double kCrowdedRise = 0.1;       // weight of a failed connect in that share
 constexpr double kCrowdedFall = 0.005;     // weight of one that was made
@@ -123,6 +124,7 @@
   Health health;  // its own: bounds calls where the lane is shared, ranks the endpoint everywhere
   int out = 0, explained = 0;  // explained: failures in a row that need no outage
   std::uint64_t last_call = 0;
+  Rate used{kTakenSpan};
   std::vector<Micros> idle;  // connections believed idle, by the time they became so
 };
 
@@ -259,7 +261,7 @@
     Pump();
     for (const auto& [home, id] : std::exchange(freed_, {})) {
       Route* route = Find(*home, id);
-      if (route != nullptr && !route->idle.empty() && Crowded(*route)) Close(*route);
+      if (route != nullptr && !route->idle.empty() && (Crowded(*route) || !UsedSoon(*route))) Close(*route);
     }
     if (now_ >= sweep_due_) ForgetIdle();
     ArmTimer();
@@ -706,6 +708,7 @@
       *call = {route.home, route.endpoint.id, now_};
       if (lane.bucket.bound) lane.bucket.tokens -= 1;
       ++lane.out, ++route.out;
+      route.used.Add(now_);
       if (now_ < fresh_until_ && !route.idle.empty() && now_ - route.idle.back() >= stale_after_ / 2)
         Close(route);
       if (!route.idle.empty()) {
@@ -726,6 +729,11 @@
 
   // Against full connection tables: where connects fail at lanes that were well, connections of that kind are
   // given back after use, since idle ones of all senders take the places.
+  bool UsedSoon(const Route& route) const {
+    const double keep = kKeepForPrice * set_.price_handshake;  // 0: no reason to give one back
+    return keep <= 0 || std::max(route.used.Now(now_), 1.0 / set_.senders) * keep >= 1;
+  }
+
   bool Crowded(const Route& route) { return crowded_[route.endpoint.kind] > kCrowdedShare; }
 
   // Against idle connections dropped unseen on the way (a reaper, a restarted proxy): calls on them are lost,
@@ -736,6 +744,7 @@
     if (call.idle_for <= Micros(0)) {
       double& share = crowded_[route.endpoint.kind];
       const bool full = was_well && result == Result::kNoConnection;
+      if (full && share <= kCrowdedShare) sweep_due_ = now_;           // what idles there goes at once
       share += (full ? kCrowdedRise : kCrowdedFall) * (full - share);  // giving back hides what it cures
     } else if (lost && call.idle_for >= kMoment) {
       stale_after_ = std::min(stale_after_, call.idle_for);
--- a/src/brain.h
+++ b/src/brain.h
@@ -53,6 +53,7 @@
   Decay decay = Decay::kEven;
   double over_share_worth = 1;
   double price_cross_zone = 0;
+  double price_handshake = 0;
   double cold_from = 0;
   double overload_factor = 0;
   Micros cold{0};
--- a/src/wire/settings.cpp
+++ b/src/wire/settings.cpp
@@ -76,6 +76,7 @@
                         {{"even", Decay::kEven}, {"by_half", Decay::kByHalf}});
   s.over_share_worth = fields.Number("overShareWorth", 1);
   s.price_cross_zone = fields.Number("prices.crossZone", 0);
+  s.price_handshake = fields.Number("prices.handshake", 0);
   s.cold_from = fields.Number("guarantees.coldFrom", 0);
   s.overload_factor = fields.Number("guarantees.overloadFactor", 0);
   s.cold = fields.Time("guarantees.cold", Micros(0));
