--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -44,6 +44,8 @@
 constexpr Micros kAloneClump = seconds(8);  // of a destination's calls may wait at as many senders, one each
 constexpr double kSparseBudget = 0.1;       // calls in a fall span: less would outlast what waits
 constexpr Micros kMoment = milliseconds(250);  // between trials in doubt; between calls for the list
+constexpr Micros kAskedSpan = seconds(10);     // the same for one destination
+constexpr double kRoughSafe = 1 / 1.5;         // part of a rough listed limit that is there at the least
 constexpr Micros kTakenSpan = seconds(5);      // over which a sender's own traffic is averaged
 constexpr double kOverShare = 1.25;            // of its share: a tenant is past it
 
@@ -88,8 +90,8 @@
   double count = 0;
   Micros at{0};
   double Now(Micros t) const { return count / Seconds(span) * std::exp(-Seconds(t - at) / Seconds(span)); }
-  double Add(Micros now) {
-    count = Now(now) * Seconds(span) + 1;
+  double Add(Micros now, double events = 1) {
+    count = Now(now) * Seconds(span) + events;
     return at = now, Now(now);
   }
 };
@@ -107,6 +109,7 @@
   Micros pause_until{Micros::min()}, used{Micros::min()};  // told wait; latest call
   double limit = 0;                                        // told calls a second, all senders; 0: none told
   double listed;                                           // the same by the list; 0: it says none
+  Rate asked{kAskedSpan};                                  // messages that came for it, here
   Rate served{kServedSpan};                                // calls
   double peak = 0;                                         // best served rate seen
   double mean = 0, deviation = 0;                          // latency in seconds; 0: none seen
@@ -125,7 +128,8 @@
   int out = 0, explained = 0;  // explained: failures in a row that need no outage
   std::uint64_t last_call = 0;
   Rate used{kTakenSpan};
-  std::vector<Micros> idle;  // connections believed idle, by the time they became so
+  Micros rest_until{Micros::min()};  // its connections were all taken
+  std::vector<Micros> idle;          // connections believed idle, by the time they became so
 };
 
 struct Held;
@@ -217,6 +221,10 @@
     held.c = ClassOf(message);
     held.home = &destinations_[message.destination];
     ++held.home->held;
+    for (Route& route : held.home->routes)  // apart: to each an even part of it
+      if (route.kind.separate_routes)
+        route.own.asked.Add(now_, 1.0 / static_cast<double>(held.home->routes.size()));
+    held.home->shared.asked.Add(now_);
     held.over_share = TakeShare(message.tenant);
     ++open_;
     Place(held);
@@ -384,6 +392,10 @@
 
   // This sender's part of a lane's capacity, calls a second: what it served before, or an even part.
   double ShareOf(const Lane& lane) const {
+    if (lane.limit <= 0 && lane.listed > 0) {
+      const double least = lane.listed * (set_.weights == Weights::kRough ? kRoughSafe : 1);
+      return std::clamp(lane.asked.Now(now_), least / set_.senders, least);
+    }
     return std::max({lane.peak, lane.limit / set_.senders, kLeastRate / set_.senders});
   }
 
@@ -461,7 +473,8 @@
 
   // Believed of all senders together, and the greatest rate of one.
   double Limit(const Lane& lane) const {
-    return lane.limit > 0 ? lane.limit : std::max(kLeastRate, lane.peak * set_.senders);
+    if (lane.limit > 0 || lane.listed > 0) return lane.limit > 0 ? lane.limit : lane.listed;
+    return std::max(kLeastRate, lane.peak * set_.senders);
   }
 
   void Fill(Bucket& bucket) {
@@ -695,7 +708,7 @@
     const bool trial = lane.health.phase == Phase::kTrial;
     const int half = set_.call_slots > 0 ? std::max(2, (set_.call_slots + 1) / 2) : lane.out + 1;
     if (lane.out >= (!trial ? half : InDoubt(lane.health) ? 2 : 1)) return false;  // no lane takes all slots
-    return route.health.phase != Phase::kTrial || route.out == 0;
+    return now_ >= route.rest_until && (route.health.phase != Phase::kTrial || route.out == 0);
   }
 
   void SendTo(Held& held, Route& route) {
@@ -739,11 +752,12 @@
   // Against idle connections dropped unseen on the way (a reaper, a restarted proxy): calls on them are lost,
   // on new ones not. Counted against old ones that still answer, so that a hang of under half the traffic
   // does not count.
-  void JudgeConnection(const Call& call, const Route& route, Result result, bool was_well) {
+  void JudgeConnection(const Call& call, const Route& route, const Outcome& outcome, bool was_well) {
+    const Result result = outcome.result;
     const bool lost = result == Result::kTimeout || result == Result::kReset;
     if (call.idle_for <= Micros(0)) {
       double& share = crowded_[route.endpoint.kind];
-      const bool full = was_well && result == Result::kNoConnection;
+      const bool full = was_well && result == Result::kNoConnection && outcome.latency < kMoment;
       if (full && share <= kCrowdedShare) sweep_due_ = now_;           // what idles there goes at once
       share += (full ? kCrowdedRise : kCrowdedFall) * (full - share);  // giving back hides what it cures
     } else if (lost && call.idle_for >= kMoment) {
@@ -834,13 +848,16 @@
     call.judged = true;
     if (result == Result::kFull) Cut(lane);
     lane.lost += kMemory * ((result == Result::kTimeout ? 1 : 0) - lane.lost);
-    JudgeConnection(call, route, result, lane.health.bad_run == 0);
+    JudgeConnection(call, route, outcome, lane.health.bad_run == 0);
     // What needs no outage, unless in a run: a refusal with a told limit in use, a failed connect at a
     // crowded kind, a spoilt answer, a kept connection that ended under its call.
     const bool in_use = outcome.load.limit > 0 && outcome.load.left >= 0 && outcome.load.left < kLimitInUse;
     const bool limit = result == Result::kFull && in_use;
     const bool worn = call.idle_for > Micros(0) && result == Result::kReset;
-    const bool explained = limit || garbled || worn || (result == Result::kNoConnection && Crowded(route));
+    const bool no_place = result == Result::kNoConnection && outcome.latency < kMoment && Crowded(route);
+    const bool explained = limit || garbled || worn || no_place;
+    if (no_place)
+      route.rest_until = now_ + ToMicros((1 + Draw()) * Seconds(kMoment) * std::exp2(route.explained));
     route.explained = explained ? route.explained + 1 : 0;
     if (!explained || route.explained > (limit ? 1 : kFullTableRun) || lane.health.phase == Phase::kTrial)
       for (Health* health : {&lane.health, &route.health}) Judge(*health, ok, call.sent);
