A call on a new connection may take four aims: slow partners were cut off and put on trial

To blame: Timeout, at least half an aim, 0.5 s for position updates, at partners whose answer times differ much; each cut call counts as a failure, and 200 senders share the trials.

--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -51,6 +51,8 @@
 
 // Time-outs, slots and waking.
 constexpr double kTimeoutDeviations = 8;   // time-out = mean + so many deviations: rarely cuts a live call
+constexpr double kPatience = 4;            // aims that a call may take at the least: a slow one is not lost
+constexpr double kOldPatience = 0.5;       // the same on a connection that idled: it may be dead
 constexpr int kMostDoublings = 4;          // of a message's time-out
 constexpr double kLostShare = 0.15;        // a lane that loses more of its calls is lossy, not slow
 constexpr double kLossyPatience = 0.5;     // part of the usual time-out given to a lossy lane
@@ -646,11 +648,14 @@
     }
   }
 
-  Micros Timeout(const Held& held, const Lane& lane) const {
+  Micros Timeout(const Held& held, const Lane& lane, bool old = false) const {
     const bool lossy = lane.lost >= kLostShare && PhaseOf(lane.health) == Phase::kWarm;
     const double seen =
         lane.mean > 0 ? lane.mean + kTimeoutDeviations * lane.deviation : Seconds(held.c->aim);
-    const Micros base = ToMicros((lossy ? kLossyPatience : 1) * std::max(Seconds(held.c->aim) / 2, seen));
+    const Micros base = ToMicros(
+        (lossy ? kLossyPatience : 1) *
+        std::max(Seconds(held.c->aim) * (old && held.c->effect != Effect::kUnsafe ? kOldPatience : kPatience),
+                 seen));
     // A message that timed out may just be slow: it gets more time, within limits while its lane is in trial.
     const int most = lane.health.phase == Phase::kTrial ? 1 : kMostDoublings;
     return std::min<Micros>(base * (1 << std::min(held.timeouts, most)), held.message.give_up_at - now_);
@@ -692,7 +697,7 @@
   // Before a stop: only what should end by then. What the stop cuts off may have run.
   bool EndsInTime(const Held& held, const Lane& lane) const {
     const bool sure = lane.mean > 0 && held.c->effect != Effect::kUnsafe;
-    return stop_at_ - now_ >= (sure ? ToMicros(lane.mean + 2 * lane.deviation) : Timeout(held, lane));
+    return stop_at_ - now_ >= (sure ? ToMicros(lane.mean + 2 * lane.deviation) : Timeout(held, lane, true));
   }
 
   bool HasRoom(const Held& held, const Route& route, Lane& lane) {
@@ -735,7 +740,7 @@
     held.out = true;
     ++held.message.past.attempts;
     Place(held);
-    host_.Send(held.message.id, route.endpoint.id, Timeout(held, lane));
+    host_.Send(held.message.id, route.endpoint.id, Timeout(held, lane, call->idle_for > Micros(0)));
   }
 
   void Close(Route& route) { route.idle.clear(), host_.CloseIdle(route.endpoint.id); }
