Rule 4 after a shut: trials count from the end of a told wait, and few senders' drawn gaps share it

To blame: kFullTableRun (3, now 1), InBudget (gaps counted from the last call alone, one long told wait taken for a blip). A sender with little to send in trial now always waits a drawn time (0 to 2 x 4 s of the clump), not only when alone: a fixed gap of 28 s let a message's whole time pass.

--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -37,12 +37,12 @@
 constexpr double kBudgetShare = 0.8;         // part of the allowed budget that is used: slack for chance
 constexpr Micros kLeastOutage = seconds(4);  // a shorter gap in service leaves nothing cold
 constexpr int kSingleHeadStart = 2;          // after one failure alone: part of the cold time taken as over
-constexpr double kLimitInUse = 0.8;         // share left of a told limit under which it is taken to be in use
-constexpr double kExtraItemWeight = 0.2;    // load of each further message in one call
-constexpr double kOutageShare = 0.5;        // failing share of recent calls that is no blip
-constexpr double kMemory = 0.1;             // weight of the newest call in shares and latencies
-constexpr Micros kAloneClump = seconds(8);  // of a destination's calls may wait at as many senders, one each
-constexpr double kSparseBudget = 0.1;       // calls in a fall span: less would outlast what waits
+constexpr double kLimitInUse = 0.8;       // share left of a told limit under which it is taken to be in use
+constexpr double kExtraItemWeight = 0.2;  // load of each further message in one call
+constexpr double kOutageShare = 0.5;      // failing share of recent calls that is no blip
+constexpr double kMemory = 0.1;           // weight of the newest call in shares and latencies
+constexpr Micros kThinClump =
+    seconds(4);  // of a destination's calls may wait at as many senders, one trial each
 constexpr Micros kMoment = milliseconds(250);  // between trials in doubt; between calls for the list
 constexpr Micros kAskedSpan = seconds(10);     // the same for one destination
 constexpr double kRoughSafe = 1 / 1.5;         // part of a rough listed limit that is there at the least
@@ -62,7 +62,7 @@
 constexpr double kOpenReserve = 0.05;      // part of the holding room kept free for what comes
 constexpr int kStaleSigns = 3;             // calls lost on old connections, less those answered, that tell
 constexpr Micros kFreshFor = seconds(10);  // then no old connection is used for so long
-constexpr int kFullTableRun = 3;           // failed connects in a row that a full table explains
+constexpr int kFullTableRun = 1;           // failed connects in a row that a full table explains
 constexpr double kKeepForPrice = 100;      // seconds that a connection is kept unused, for a price of 1
 constexpr double kCrowdedShare = 0.05;     // failed connects that tell
 constexpr double kCrowdedRise = 0.1;       // weight of a failed connect in that share
@@ -80,7 +80,7 @@
   Phase phase = Phase::kWarm, before = Phase::kWarm;       // before: the phase that a trial interrupted
   Micros last_ok{Micros::min()}, last_bad{Micros::min()};  // send times of the latest served and other call
   Micros trouble_from{Micros::min()}, ramp_from{0};        // last_ok when the trouble began; first served
-  double alone_gap = 0;                         // seconds until a sender's only message may be the next trial
+  double gap = 0;                               // seconds until a sender with little to send may try again
   double bad_share = 0;                         // of recent calls
   int bad_run = 0;                              // calls in a row that failed or were refused
   std::vector<std::pair<Micros, double>> sent;  // (time, weight) of calls
@@ -377,10 +377,10 @@
     if (route.endpoint.state != EndpointState::kReady) return false;  // rule 3
     if (now_ < lane.pause_until) return false;                        // rule 6
     if (joins) return true;  // rides on a call that passed here in this turn; its weight is counted
-    const bool alone = route.home->held <= 1;
-    if (!InBudget(lane.health, ShareOf(lane), alone)) return false;
+    if (!InBudget(lane.health, ShareOf(lane), lane.pause_until)) return false;
     if (route.kind.separate_routes) return true;
-    return InBudget(route.health, ShareOf(lane) / static_cast<double>(route.home->routes.size()), alone);
+    return InBudget(route.health, ShareOf(lane) / static_cast<double>(route.home->routes.size()),
+                    lane.pause_until);
   }
 
   // Every send passes here.
@@ -409,7 +409,7 @@
 
   // After an outage, at most so much in any fall span: between a trickle and the rule's multiple of what the
   // destination can do at this point of its warming.
-  bool InBudget(const Health& health, double share, bool alone) const {
+  bool InBudget(const Health& health, double share, Micros open) const {
     if (PhaseOf(health) == Phase::kWarm || health.sent.empty()) return true;
     if (InDoubt(health) && health.before == Phase::kWarm) {
       return now_ - health.sent.back().first >= kMoment;
@@ -420,11 +420,11 @@
     }
     const double fall = Seconds(set_.fall);
     double most = kBudgetShare * set_.overload_factor * warm * share * fall;
-    const double since = Seconds(now_ - health.sent.back().first);
+    const double since = Seconds(now_ - std::max(open, health.sent.back().first));  // a wait's end is all's
     if (health.phase == Phase::kTrial) {
       most = std::max(most, kTrialsPerFall / set_.senders);
       if (health.bad_run == 1) return true;  // the one that tells a blip
-      if (alone && most < kSparseBudget && since >= health.alone_gap) return true;
+      if (most < 1) return since >= health.gap || since * most >= fall;
     }
     if (most < 1) return since * most >= fall;
     double used = 1;
@@ -443,12 +443,11 @@
 
   // Any failure or refusal may be an outage. A served call then tells: in doubt it was a blip or a limit;
   // else the destination is cold and returns.
-  void Judge(Health& health, bool ok, Micros sent) {
+  void Judge(Health& health, bool ok, Micros sent, bool shut) {
     health.bad_share += kMemory * ((ok ? 0 : 1) - health.bad_share);
     if (!ok) {
-      ++health.bad_run;
-      health.alone_gap =
-          2 * Draw() * Seconds(kAloneClump) / (kBudgetShare * set_.overload_factor * set_.cold_from);
+      health.bad_run += shut ? 2 : 1;  // no limit's span is so long: no blip
+      health.gap = 2 * Draw() * Seconds(kThinClump) / (kBudgetShare * set_.overload_factor * set_.cold_from);
       if (health.phase != Phase::kTrial) {
         health.before = PhaseOf(health);
         health.trouble_from = health.last_ok;
@@ -865,7 +864,8 @@
       route.rest_until = now_ + ToMicros((1 + Draw()) * Seconds(kMoment) * std::exp2(route.explained));
     route.explained = explained ? route.explained + 1 : 0;
     if (!explained || route.explained > (limit ? 1 : kFullTableRun) || lane.health.phase == Phase::kTrial)
-      for (Health* health : {&lane.health, &route.health}) Judge(*health, ok, call.sent);
+      for (Health* health : {&lane.health, &route.health})
+        Judge(*health, ok, call.sent, outcome.wait > kBurst);
     else
       route.health.bad_share += kMemory * (1 - route.health.bad_share);  // others are tried first
     if (ok) {
