--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -712,6 +712,10 @@
     const bool trial = lane.health.phase == Phase::kTrial;
     const int half = set_.call_slots > 0 ? std::max(2, (set_.call_slots + 1) / 2) : lane.out + 1;
     if (lane.out >= (!trial ? half : InDoubt(lane.health) ? 2 : 1)) return false;  // no lane takes all slots
+    if (set_.call_slots > 0 && lane.out > 0 &&
+        calls_.size() * 4 >= static_cast<std::size_t>(set_.call_slots) * 3)
+      return false;  // the last quarter is for lanes that hold none: those that hold some may be hung
+
     return now_ >= route.rest_until && (route.health.phase != Phase::kTrial || route.out == 0);
   }
 
@@ -865,7 +869,7 @@
     route.explained = explained ? route.explained + 1 : 0;
     if (!explained || route.explained > (limit ? 1 : kFullTableRun) || lane.health.phase == Phase::kTrial)
       for (Health* health : {&lane.health, &route.health})
-        Judge(*health, ok, call.sent, outcome.wait > kBurst);
+        Judge(*health, ok, call.sent, outcome.wait > kBurst || route.explained > 1);
     else
       route.health.bad_share += kMemory * (1 - route.health.bad_share);  // others are tried first
     if (ok) {
