Lanes whose answer times are known are cut after one aim: silent losses held all slots for four

A print for each outcome: some 55 calls in 5 s, spread over all partners, never answered and held 500 of 585 slot-seconds, ten seconds each; nothing else rose. Ruled out: one sick partner, connections, waits. To blame: Timeout's four aims for lanes that answer in 0.1 s. A run of explained failures is 3 again for spoilt answers and worn connections, 1 for full tables.

--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -52,7 +52,8 @@
 // Time-outs, slots and waking.
 constexpr double kTimeoutDeviations = 8;   // time-out = mean + so many deviations: rarely cuts a live call
 constexpr double kPatience = 4;            // aims that a call may take at the least: a slow one is not lost
-constexpr double kOldPatience = 0.5;       // the same on a connection that idled: it may be dead
+constexpr double kKnownPatience = 1;       // the same where answer times are known, or on an old connection
+constexpr int kKnownAnswers = 5;           // calls: then they are known
 constexpr int kMostDoublings = 4;          // of a message's time-out
 constexpr double kLostShare = 0.15;        // a lane that loses more of its calls is lossy, not slow
 constexpr double kLossyPatience = 0.5;     // part of the usual time-out given to a lossy lane
@@ -62,7 +63,7 @@
 constexpr double kOpenReserve = 0.05;      // part of the holding room kept free for what comes
 constexpr int kStaleSigns = 3;             // calls lost on old connections, less those answered, that tell
 constexpr Micros kFreshFor = seconds(10);  // then no old connection is used for so long
-constexpr int kFullTableRun = 1;           // failed connects in a row that a full table explains
+constexpr int kExplainedRun = 3;           // failures in a row that need no outage, of most kinds
 constexpr double kKeepForPrice = 100;      // seconds that a connection is kept unused, for a price of 1
 constexpr double kCrowdedShare = 0.05;     // failed connects that tell
 constexpr double kCrowdedRise = 0.1;       // weight of a failed connect in that share
@@ -115,6 +116,7 @@
   Rate served{kServedSpan};                                // calls
   double peak = 0;                                         // best served rate seen
   double mean = 0, deviation = 0;                          // latency in seconds; 0: none seen
+  int answered = 0;                                        // calls
   double lost = 0;                                         // share of recent calls without an answer
   int out = 0;                                             // calls
 };
@@ -350,8 +352,9 @@
   }
 
   // Rule 1: the one place where a final answer is given.
-  void Answer(Held& held, Micros not_before) {
+  void Answer(Held& held) {
     if (held.ended) return;
+    const Micros not_before = set_.retry_advice ? set_.max_retry_after : Micros(0);
     MayRefuse(held) ? host_.Refuse(held.message.id, not_before) : host_.Fail(held.message.id);
     End(held);
   }
@@ -616,8 +619,7 @@
       Held& held = it->second;
       const bool overdue = now_ >= held.message.give_up_at + set_.tick;
       const bool stray = list_told_ && held.home->listed == Micros::min();  // to what was never on the list
-      if (stray) Answer(held, set_.max_retry_after);
-      if (held.out ? overdue : !MayAttempt(held) || !CanStillArrive(held)) Answer(held, Micros(0));
+      if (stray || (held.out ? overdue : !MayAttempt(held) || !CanStillArrive(held))) Answer(held);
     }
   }
 
@@ -645,7 +647,7 @@
         if (least == nullptr || rank < best) least = held, best = rank;
       }
       if (least == nullptr) return;
-      Answer(*least, set_.max_retry_after);
+      Answer(*least);
     }
   }
 
@@ -653,10 +655,13 @@
     const bool lossy = lane.lost >= kLostShare && PhaseOf(lane.health) == Phase::kWarm;
     const double seen =
         lane.mean > 0 ? lane.mean + kTimeoutDeviations * lane.deviation : Seconds(held.c->aim);
-    const Micros base = ToMicros(
-        (lossy ? kLossyPatience : 1) *
-        std::max(Seconds(held.c->aim) * (old && held.c->effect != Effect::kUnsafe ? kOldPatience : kPatience),
-                 seen));
+    const Micros base =
+        ToMicros((lossy ? kLossyPatience : 1) *
+                 std::max(Seconds(held.c->aim) *
+                              (lane.answered < kKnownAnswers && (!old || held.c->effect == Effect::kUnsafe)
+                                   ? kPatience
+                                   : kKnownPatience),
+                          seen));
     // A message that timed out may just be slow: it gets more time, within limits while its lane is in trial.
     const int most = lane.health.phase == Phase::kTrial ? 1 : kMostDoublings;
     return std::min<Micros>(base * (1 << std::min(held.timeouts, most)), held.message.give_up_at - now_);
@@ -869,12 +874,14 @@
     if (no_place)
       route.rest_until = now_ + ToMicros((1 + Draw()) * Seconds(kMoment) * std::exp2(route.explained));
     route.explained = explained ? route.explained + 1 : 0;
-    if (!explained || route.explained > (limit ? 1 : kFullTableRun) || lane.health.phase == Phase::kTrial)
+    if (!explained || route.explained > (limit || no_place ? 1 : kExplainedRun) ||
+        lane.health.phase == Phase::kTrial)
       for (Health* health : {&lane.health, &route.health})
         Judge(*health, ok, call.sent, outcome.wait > kBurst || route.explained > 1);
     else
       route.health.bad_share += kMemory * (1 - route.health.bad_share);  // others are tried first
     if (ok) {
+      ++lane.answered;
       const double latency = Seconds(outcome.latency);
       if (lane.mean <= 0) lane.mean = latency, lane.deviation = latency / 2;
       lane.deviation += kLatencyMemory * (std::abs(latency - lane.mean) - lane.deviation);
