The program has the move's settings and a watch mode; a full table's rest is bounded; told waits hold

Program: delivery.weights, delivery.retry_advice, delivery.connection_price (the platform's weightKind, caps.retryAfter, prices.handshake; the list's `share` is the weight), checked, changeable while the node runs; left out, the node decides as before. [watch]: a second Brain is fed the same events with other settings, does nothing, and counts by kind (sent, other endpoint, refused, failed, waited) the messages it would have treated otherwise: once each, in status and in the log's `watch`.

Events.* found a message held past hope: at a destination whose endpoints had all gone, a told wait past its deadline was not looked at (CanStillArrive took no endpoints for hope); the earlier walks over the list showed it.

--- a/src/base/log_events.h
+++ b/src/base/log_events.h
@@ -42,6 +42,12 @@
               {"journal", "size of the journal"},
               {"endings", "how calls ended, counted since the start"},
               {"lines_dropped", "log lines lost to a reader that did not read"}}}};
+inline constexpr Event<kCount, kText> kWatch{
+    "watch",
+    kInfo,
+    "Every 10 s where settings are watched: how often they would have decided otherwise.",
+    {{{"messages", "compared since the start"},
+      {"otherwise", "messages by what the watched settings would have done instead, since the start"}}}};
 inline constexpr Event<kText, kText> kFolderUnusable{
     "folder.unusable",
     kError,
@@ -208,12 +214,12 @@
 template <typename Visitor>
 void ForEachEvent(Visitor&& visit) {
   const auto all = [&](const auto&... events) { (visit(events), ...); };
-  all(kServing, kStopping, kStopped, kReport, kFolderUnusable, kListenFailed, kJournalFound, kJournalDamaged,
-      kResumed, kJournalWritable, kKnownUnreadable, kListSkipped, kWatchLost, kDiscoveryMoved,
-      kNoticeUnreadable, kMessageEnded, kMessageDelivered, kClientEnded, kConfigServes, kConfigRefused,
-      kConfigOnTrial, kConfigKept, kConfigUndone, kConfigInterrupted, kConfigNeedsRestart, kConfigUnusable,
-      kConfigSame, kConfigStoreFailed, kControlOpen, kControlFailed, kControlRefused, kLogHeldBack,
-      kLogDropped);
+  all(kServing, kStopping, kStopped, kReport, kWatch, kFolderUnusable, kListenFailed, kJournalFound,
+      kJournalDamaged, kResumed, kJournalWritable, kKnownUnreadable, kListSkipped, kWatchLost,
+      kDiscoveryMoved, kNoticeUnreadable, kMessageEnded, kMessageDelivered, kClientEnded, kConfigServes,
+      kConfigRefused, kConfigOnTrial, kConfigKept, kConfigUndone, kConfigInterrupted, kConfigNeedsRestart,
+      kConfigUnusable, kConfigSame, kConfigStoreFailed, kControlOpen, kControlFailed, kControlRefused,
+      kLogHeldBack, kLogDropped);
 }
 
 }  // namespace indigosaddle::base
--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -51,12 +51,9 @@
 
 // Time-outs, slots and waking.
 constexpr double kTimeoutDeviations = 8;   // time-out = mean + so many deviations: rarely cuts a live call
-constexpr double kPatience = 4;            // aims that a call may take at the least: a slow one is not lost
-constexpr double kKnownPatience = 1;       // the same where answer times are known, or on an old connection
-constexpr int kKnownAnswers = 5;           // calls: then they are known
+constexpr double kPatience = 4;            // aims that a call may take where answer times are not known yet
+constexpr int kKnownAnswers = 5;           // calls: then they are
 constexpr int kMostDoublings = 4;          // of a message's time-out
-constexpr double kLostShare = 0.15;        // a lane that loses more of its calls is lossy, not slow
-constexpr double kLossyPatience = 0.5;     // part of the usual time-out given to a lossy lane
 constexpr double kLatencyMemory = 0.15;    // weight of the newest latency
 constexpr double kKeyLifeUsed = 0.95;      // part of a key's life in which a repeat may still be sent
 constexpr int kRiskedCredit = 3;           // attempts that do not lessen the claim of what risks no more
@@ -117,7 +114,6 @@
   double peak = 0;                                         // best served rate seen
   double mean = 0, deviation = 0;                          // latency in seconds; 0: none seen
   int answered = 0;                                        // calls
-  double lost = 0;                                         // share of recent calls without an answer
   int out = 0;                                             // calls
 };
 
@@ -206,8 +202,7 @@
       const auto kind = static_cast<std::size_t>(entry.kind);
       if (kind < set_.kinds.size()) route->kind = set_.kinds[kind];
       route->home = &home;
-      if (set_.weights != Weights::kNone)
-        (route->kind.separate_routes ? route->own : home.shared).listed = entry.weight;
+      (route->kind.separate_routes ? route->own : home.shared).listed = entry.weight;
     }
   }
 
@@ -397,9 +392,11 @@
     return route.home == held.home && MayCall(route, lane, joins);
   }
 
+  double Listed(const Lane& lane) const { return set_.weights == Weights::kNone ? 0 : lane.listed; }
+
   // This sender's part of a lane's capacity, calls a second: what it served before, or an even part.
   double ShareOf(const Lane& lane) const {
-    if (lane.limit <= 0 && lane.listed > 0) {
+    if (lane.limit <= 0 && Listed(lane) > 0) {
       const double least = lane.listed * (set_.weights == Weights::kRough ? kRoughSafe : 1);
       return std::clamp(lane.asked.Now(now_), least / set_.senders, least);
     }
@@ -479,7 +476,7 @@
 
   // Believed of all senders together, and the greatest rate of one.
   double Limit(const Lane& lane) const {
-    if (lane.limit > 0 || lane.listed > 0) return lane.limit > 0 ? lane.limit : lane.listed;
+    if (lane.limit > 0 || Listed(lane) > 0) return lane.limit > 0 ? lane.limit : lane.listed;
     return std::max(kLeastRate, lane.peak * set_.senders);
   }
 
@@ -606,7 +603,7 @@
   // destination.
   void AnswerWhatIsOver() {
     for (Destination* home : std::exchange(changed_, {})) {
-      Micros all_wait = home->routes.empty() ? Micros::min() : Micros::max();
+      Micros all_wait = home->routes.empty() ? home->shared.pause_until : Micros::max();
       for (Route& route : home->routes) all_wait = std::min(all_wait, LaneOf(route).pause_until);
       for (auto it = home->waiting.begin(); it != home->waiting.end() && it->first.first <= all_wait; ++it)
         look_.insert(it->first.second);
@@ -626,9 +623,9 @@
   bool CanStillArrive(const Held& held) {
     if (held.message.give_up_at - now_ <= 2 * set_.tick) return false;
     std::vector<Route>& routes = held.home->routes;  // none: the list may be behind
-    return routes.empty() || std::any_of(routes.begin(), routes.end(), [&](Route& route) {
-             return LaneOf(route).pause_until < held.message.give_up_at;
-           });
+    if (routes.empty()) return held.home->shared.pause_until < held.message.give_up_at;
+    return std::any_of(routes.begin(), routes.end(),
+                       [&](Route& route) { return LaneOf(route).pause_until < held.message.give_up_at; });
   }
 
   // Room under max_open: what the door turns away was chosen by nobody. Hand back what promises least.
@@ -651,17 +648,11 @@
     }
   }
 
-  Micros Timeout(const Held& held, const Lane& lane, bool old = false) const {
-    const bool lossy = lane.lost >= kLostShare && PhaseOf(lane.health) == Phase::kWarm;
-    const double seen =
-        lane.mean > 0 ? lane.mean + kTimeoutDeviations * lane.deviation : Seconds(held.c->aim);
-    const Micros base =
-        ToMicros((lossy ? kLossyPatience : 1) *
-                 std::max(Seconds(held.c->aim) *
-                              (lane.answered < kKnownAnswers && (!old || held.c->effect == Effect::kUnsafe)
-                                   ? kPatience
-                                   : kKnownPatience),
-                          seen));
+  Micros Timeout(const Held& held, const Lane& lane, bool old_connection) const {
+    const bool known =
+        lane.answered >= kKnownAnswers || (old_connection && held.c->effect != Effect::kUnsafe);
+    const double least = Seconds(held.c->aim) * (known ? 1 : kPatience);
+    const Micros base = ToMicros(std::max(least, lane.mean + kTimeoutDeviations * lane.deviation));
     // A message that timed out may just be slow: it gets more time, within limits while its lane is in trial.
     const int most = lane.health.phase == Phase::kTrial ? 1 : kMostDoublings;
     return std::min<Micros>(base * (1 << std::min(held.timeouts, most)), held.message.give_up_at - now_);
@@ -862,7 +853,6 @@
   if (!call.judged && result != Result::kNotSent && result != Result::kCancelled) {  // one call, one fate
     call.judged = true;
     if (result == Result::kFull) Cut(lane);
-    lane.lost += kMemory * ((result == Result::kTimeout ? 1 : 0) - lane.lost);
     JudgeConnection(call, route, outcome, lane.health.bad_run == 0);
     // What needs no outage, unless in a run: a refusal with a told limit in use, a failed connect at a
     // crowded kind, a spoilt answer, a kept connection that ended under its call.
@@ -872,7 +862,8 @@
     const bool no_place = result == Result::kNoConnection && outcome.latency < kMoment && Crowded(route);
     const bool explained = limit || garbled || worn || no_place;
     if (no_place)
-      route.rest_until = now_ + ToMicros((1 + Draw()) * Seconds(kMoment) * std::exp2(route.explained));
+      route.rest_until =
+          now_ + ToMicros((1 + Draw()) * Seconds(kMoment) * std::exp2(std::min(route.explained, 2)));
     route.explained = explained ? route.explained + 1 : 0;
     if (!explained || route.explained > (limit || no_place ? 1 : kExplainedRun) ||
         lane.health.phase == Phase::kTrial)
--- a/src/cli/status.cpp
+++ b/src/cli/status.cpp
@@ -31,6 +31,15 @@
         "messages: {} held, {} notices owed; {} taken, {} delivered, {} returned, {} failed, {} busy\n",
         number(m, "open"), number(m, "notices"), number(m, "taken"), number(m, "delivered"),
         number(m, "returned"), number(m, "given_up"), number(m, "busy"));
+    if (const auto& w = status.at("watch"); !w.is_null()) {
+      const auto& o = w.at("otherwise");
+      fmt::print(
+          "watch: of {} messages the watched settings would have sent {}, sent to another endpoint {}, "
+          "refused {}, "
+          "failed {}, held {}\n",
+          number(w, "messages"), number(o, "sent"), number(o, "other_endpoint"), number(o, "refused"),
+          number(o, "failed"), number(o, "waited"));
+    }
     fmt::print("clients: {} of {}; connections to endpoints: {} of {}\n", number(status.at("clients"), "now"),
                number(status.at("clients"), "most"), number(status.at("calls"), "connections"),
                number(status.at("calls"), "most"));
--- a/src/config/document.cpp
+++ b/src/config/document.cpp
@@ -279,6 +279,10 @@
       say(at("key_ttl"), "is given where effect is not \"keyed\"");
     }
   }
+  const json* advice = At(told, "settings.caps.retryAfter", 0);
+  if (advice != nullptr && *advice == false && number("settings.caps.maxRetryAfter", 0, 0) > 0) {
+    say("delivery.max_retry_after", "is given where retry_advice is false: no client would hear it");
+  }
   const double slots = number("settings.familyInfo.callSlots", 0, 0),
                room = number("settings.caps.maxOpen", 0, 0);
   if (slots > 0 && room > 0 && room < slots) {
--- a/src/net/discovery.cpp
+++ b/src/net/discovery.cpp
@@ -41,6 +41,8 @@
     return "no block";
   }
   member.block = block->get<std::uint64_t>();
+  const auto share = entry.find("share");
+  if (share != entry.end() && share->is_number()) member.share = std::max(0.0, share->get<double>());
   const std::string health = Text(entry, "health");
   if (health == "Ready") {
     member.health = Health::kReady;
--- a/src/net/discovery.h
+++ b/src/net/discovery.h
@@ -20,6 +20,7 @@
 struct Member {  // in discovery's words
   std::string host, dial, site, kind;
   std::uint64_t block = 0;
+  double share = 0;  // what it takes, where the list's weights mean that; 0: it does not say
   Health health = Health::kReady;
 };
 
--- a/src/node/config.cpp
+++ b/src/node/config.cpp
@@ -105,6 +105,48 @@
   if (!net::ParseAddress(text, address)) throw ConfigError(fmt::format("{}: expected ip:port", what));
 }
 
+// Both forms give it; the schema has checked the operator's file, so this says what is wrong in the other.
+void ReadWatched(const json& whole, Watched& watched) {
+  const json& watch = At(whole, "watch");
+  if (watch.is_null()) return;
+  if (!watch.is_object()) throw ConfigError("watch: expected an object");
+  std::string faults;
+  const auto fault = [&](const std::string& name, const std::string& expected) {
+    faults += fmt::format("{}watch.{}: expected {}", faults.empty() ? "" : "\n", name, expected);
+  };
+  for (const auto& [name, value] : watch.items()) {
+    const config::Item* item = config::Find("watch." + name);
+    const bool number = value.is_number() && item != nullptr && value.get<double>() >= item->least &&
+                        value.get<double>() <= item->most;
+    if (item == nullptr) {
+      fault(name, "no such name");
+    } else if (item->type == config::Type::kFlag) {
+      if (!value.is_boolean()) fault(name, config::Expected(*item));
+      if (value.is_boolean() && name == "on") watched.on = value.get<bool>();
+      if (value.is_boolean() && name == "retry_advice") watched.retry_advice = value.get<bool>();
+    } else if (item->type == config::Type::kWord) {
+      const std::map<std::string, Weights> words = {
+          {"off", Weights::kNone}, {"nominal", Weights::kNominal}, {"rough", Weights::kRough}};
+      const auto word = value.is_string() ? words.find(value.get<std::string>()) : words.end();
+      word == words.end() ? fault(name, "\"off\" or \"nominal\" or \"rough\"")
+                          : void(watched.weights = word->second);
+    } else if (!number || (item->type == config::Type::kInteger && !value.is_number_integer())) {
+      fault(name, config::Expected(*item));
+    } else if (name == "connection_price") {
+      watched.price_handshake = value.get<double>();
+    } else if (name == "overload_factor") {
+      watched.overload_factor = value.get<double>();
+    } else if (name == "senders") {
+      watched.senders = value.get<int>();
+    } else if (name == "max_attempts") {
+      watched.max_attempts = value.get<int>();
+    } else if (name == "fall") {
+      watched.fall = Micros(std::llround(value.get<double>() * 1000));
+    }
+  }
+  if (!faults.empty()) throw ConfigError(faults);
+}
+
 }  // namespace
 
 namespace {
@@ -138,6 +180,7 @@
     throw ConfigError(fmt::format("settings: {}", error.what()));
   }
   if (config.settings.classes.empty()) throw ConfigError("settings.classes: expected at least one class");
+  ReadWatched(whole, config.watched);
   const std::string seed = Text(whole, "seed");
   const auto [end, error] = std::from_chars(seed.data(), seed.data() + seed.size(), config.settings.seed, 16);
   if (error != std::errc() || end != seed.data() + seed.size()) {
@@ -293,6 +336,9 @@
   s.max_attempts = n.max_attempts;
   s.max_retry_after = n.max_retry_after;
   s.price_cross_zone = n.price_cross_zone;
+  s.price_handshake = n.price_handshake;
+  s.weights = n.weights;
+  s.retry_advice = n.retry_advice;
   s.over_share_worth = n.over_share_worth;
   CarryList(changed.classes, s.classes, next.classes, n.classes,
             [](ClassSettings& c, const ClassSettings& to) {
--- a/src/node/config.h
+++ b/src/node/config.h
@@ -12,6 +12,7 @@
 #include "brain.h"
 #include "config/guard.h"
 #include "config/layers.h"
+#include "node/watch.h"
 
 namespace indigosaddle::node {
 
@@ -27,6 +28,7 @@
   Micros connect_timeout{0};
   Settings settings;
   std::map<std::string, int> classes, tenants, zones, kinds;  // numbers of the names in the settings
+  Watched watched;
   // The operator's own part; the defaults hold where there is no operator's file.
   std::size_t client_connections = 0;  // 0: by the descriptors
   double client_memory_share = 0.125;
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -69,6 +69,7 @@
       journal_(config_.state_folder),
       state_(LimitsOf(config_)),
       brain_(MakeBrain(config_.settings, *this)),
+      watcher_(config_.watched.on ? std::make_unique<Watcher>(config_.watched, config_.settings) : nullptr),
       pool_(
           loop, {config_.connect_timeout, config_.settings.idle_close, Calls(config_)},
           [this](std::uint64_t serial) { return brain_->MayStillStart(serial, loop_.Now()); },
@@ -218,6 +219,7 @@
         {"delivered", delivered_},
         {"returned", returned_},
         {"given_up", given_up_}}},
+      {"watch", watcher_ ? watcher_->Json() : nlohmann::json()},
       {"clients", {{"now", server_.connections()}, {"most", Clients(config_)}}},
       {"calls", {{"connections", pool_.connections()}, {"most", Calls(config_)}, {"opened", pool_.opened()}}},
       {"journal",
@@ -254,6 +256,7 @@
   log_.Write(base::kReport, taken_, busy_, failed_, state_.open(), state_.notices.size(),
              server_.connections(), pool_.connections(), pool_.opened(), state_.journal_size, calls,
              log_.dropped());
+  if (watcher_) log_.Write(base::kWatch, watcher_->messages(), watcher_->Text());
   report_timer_.Start(kReportEvery);
 }
 
@@ -279,6 +282,7 @@
   uv_idle_stop(&idle_);
   now_ = std::max(now_, loop_.Now());
   brain_->OnTurnStart(now_);
+  if (watcher_) watcher_->OnTurnStart(now_);
   for (state::Effect& effect : std::exchange(later_, {})) Carry(effect);
   for (const state::Event& event : std::exchange(events_, {})) {
     Reduce(event);
@@ -289,6 +293,7 @@
     }
   }
   brain_->OnTurnEnd();
+  if (watcher_) watcher_->OnTurnEnd();
   for (const state::Event& decision : std::exchange(decisions_, {})) Reduce(decision);
   Reduce(state::TurnEnded{});
 }
@@ -323,12 +328,30 @@
   std::visit([this](auto& e) { Do(e); }, effect);
 }
 
-void Node::Do(state::TellMessage& e) { brain_->OnMessage(e.message); }
-void Node::Do(state::TellWithdrawn& e) { brain_->OnWithdrawn(e.id); }
-void Node::Do(state::TellOutcome& e) { brain_->OnOutcome(e.outcome); }
-void Node::Do(state::TellList& e) { brain_->OnList(e.entries, e.whole); }
-void Node::Do(state::TellListLost&) { brain_->OnListFailed(); }
-void Node::Do(state::TellStop& e) { brain_->OnStop(e.at); }
+void Node::Do(state::TellMessage& e) {
+  brain_->OnMessage(e.message);
+  if (watcher_) watcher_->OnMessage(e.message);
+}
+void Node::Do(state::TellWithdrawn& e) {
+  brain_->OnWithdrawn(e.id);
+  if (watcher_) watcher_->OnWithdrawn(e.id);
+}
+void Node::Do(state::TellOutcome& e) {
+  brain_->OnOutcome(e.outcome);
+  if (watcher_) watcher_->OnOutcome(e.outcome);
+}
+void Node::Do(state::TellList& e) {
+  brain_->OnList(e.entries, e.whole);
+  if (watcher_) watcher_->OnList(e.entries, e.whole);
+}
+void Node::Do(state::TellListLost&) {
+  brain_->OnListFailed();
+  if (watcher_) watcher_->OnListFailed();
+}
+void Node::Do(state::TellStop& e) {
+  brain_->OnStop(e.at);
+  if (watcher_) watcher_->OnStop(e.at);
+}
 void Node::Do(state::AppendJournal& e) { Write(journal_.Append(e.bytes)); }
 void Node::Do(state::RewriteJournal& e) { Write(journal_.Rewrite(e.bytes)); }
 void Node::Do(state::ArmTimer& e) {
@@ -338,7 +361,10 @@
 void Node::Do(state::RenewWatch&) { discovery_.Renew(); }
 void Node::Do(state::CloseIdle& e) { pool_.CloseIdle(e.endpoint); }
 void Node::Do(state::Note& e) { log_.Write(base::kResumed, e.text); }
-void Node::Do(state::TellSettings& e) { brain_->OnSettings(e.settings); }
+void Node::Do(state::TellSettings& e) {
+  brain_->OnSettings(e.settings);
+  if (watcher_) watcher_->OnSettings(e.settings);
+}
 
 void Node::Do(state::MessageOver& e) {
   using state::Over;
@@ -400,12 +426,17 @@
 // ---- The module's decisions -----------------------------------------------------------------------------
 
 void Node::Send(MessageId id, const EndpointId& endpoint, Micros timeout) {
+  if (watcher_) watcher_->Sent(id, endpoint);
   decisions_.emplace_back(state::WantsSend{id, endpoint, timeout, now_});
 }
 void Node::Refuse(MessageId id, Micros not_before) {
+  if (watcher_) watcher_->Refused(id);
   decisions_.emplace_back(state::WantsRefusal{id, not_before});
 }
-void Node::Fail(MessageId id) { decisions_.emplace_back(state::WantsFailure{id}); }
+void Node::Fail(MessageId id) {
+  if (watcher_) watcher_->Failed(id);
+  decisions_.emplace_back(state::WantsFailure{id});
+}
 void Node::SetTimer(Micros at) { decisions_.emplace_back(state::WantsTimer{at}); }
 void Node::Watch() { decisions_.emplace_back(state::WantsWatch{}); }
 void Node::CloseIdle(const EndpointId& endpoint) {
@@ -451,6 +482,7 @@
     listed.endpoint.zone = NumberOf(config_.zones, member.site);
     listed.endpoint.kind = NumberOf(config_.kinds, member.kind);
     listed.endpoint.destination = member.block;
+    listed.endpoint.weight = member.share;
     listed.endpoint.state = member.health == net::Health::kReady         ? EndpointState::kReady
                             : member.health == net::Health::kTerminating ? EndpointState::kDraining
                                                                          : EndpointState::kGone;
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -19,6 +19,7 @@
 #include "node/changes.h"
 #include "node/config.h"
 #include "node/journal_file.h"
+#include "node/watch.h"
 #include "state/reducer.h"
 
 namespace indigosaddle::node {
@@ -98,6 +99,7 @@
   JournalFile journal_;
   state::State state_;
   std::unique_ptr<Brain> brain_;
+  std::unique_ptr<Watcher> watcher_;  // null: nothing is watched
   net::CallPool pool_;
   net::RespServer server_;
   net::Discovery discovery_;
--- a/tests/codec_test.cpp
+++ b/tests/codec_test.cpp
@@ -152,6 +152,7 @@
   EXPECT_DOUBLE_EQ(s.overload_factor, 2);
   EXPECT_DOUBLE_EQ(s.over_share_worth, 0.2);
   EXPECT_DOUBLE_EQ(s.price_cross_zone, 0.02);
+  EXPECT_DOUBLE_EQ(s.price_handshake, 0.06);
   ASSERT_EQ(s.classes.size(), 2U);
   EXPECT_EQ(s.classes[0].effect, Effect::kKeyed);
   EXPECT_EQ(s.classes[0].group, Group::kZone);
@@ -170,8 +171,26 @@
   EXPECT_DOUBLE_EQ(s.tenants[1].quota_per_second, 6);
 }
 
+TEST(Decode, WhatTheListSaysOfLimitsAndWhetherAdviceIsHeard) {
+  EXPECT_EQ(Only<Configure>("configure nodeId=0 weightKind=nominal").settings.weights, Weights::kNominal);
+  EXPECT_EQ(Only<Configure>("configure nodeId=0 weightKind=rough").settings.weights, Weights::kRough);
+  EXPECT_EQ(Only<Configure>("configure nodeId=0 weightKind=off").settings.weights, Weights::kNone);
+  EXPECT_FALSE(Only<Configure>("configure nodeId=0 caps.retryAfter=false").settings.retry_advice);
+  const auto batches = DecodeAll(
+      "turn moment=1.5\nregister bank=0 items=2\n"
+      "row endpoint=a:1 destination=5 state=ready heft=4.5\nrow endpoint=b:1 destination=6 state=ready "
+      "heft=-1\n"
+      "announce nodeId=0 mode=full epoch=1 bank=0\neob\n");
+  const auto& entries = *std::get<Announce>(batches.at(0).events.at(0).body).entries;
+  EXPECT_DOUBLE_EQ(entries.at(0).weight, 4.5);
+  EXPECT_DOUBLE_EQ(entries.at(1).weight, 0);
+}
+
 TEST(Decode, SettingsMayAllBeAbsent) {
   const Settings s = Only<Configure>("configure nodeId=0").settings;
+  EXPECT_EQ(s.weights, Weights::kNone);
+  EXPECT_TRUE(s.retry_advice);
+  EXPECT_EQ(s.price_handshake, 0);
   EXPECT_TRUE(s.classes.empty());
   EXPECT_TRUE(s.kinds.empty());
   EXPECT_EQ(s.call_slots, 0);
--- a/tests/config/schema_test.cpp
+++ b/tests/config/schema_test.cpp
@@ -214,6 +214,72 @@
   EXPECT_EQ(shown("log.level"), "info from default");  // the platform has no word in the operator's part
 }
 
+// What the move added: left out, the node decides as before; given, in both forms; what is wrong is named.
+TEST(NewShape, SettingsComeFromBothFormsAndTheirAbsenceChangesNothing) {
+  const node::Config plain = node::MakeConfig({{true, "f.toml", kGood}, {}, {}});
+  EXPECT_EQ(plain.settings.weights, Weights::kNone);
+  EXPECT_TRUE(plain.settings.retry_advice);
+  EXPECT_EQ(plain.settings.price_handshake, 0);
+  EXPECT_FALSE(plain.watched.on);
+  const auto edited = [](const std::string& more, const std::string& end) {
+    std::string text = kGood + end;
+    return text.insert(text.find("[delivery]\n") + 11, more);
+  };
+  const node::Config own =
+      node::MakeConfig({{true, "f.toml",
+                         edited("weights = \"rough\"\nconnection_price = 0.02\n",
+                                "[watch]\non = true\nweights = \"none\"\nfall = \"1500ms\"\nsenders = 9\n")},
+                        {},
+                        {}});
+  EXPECT_EQ(own.settings.weights, Weights::kRough);
+  EXPECT_EQ(own.settings.price_handshake, 0.02);
+  EXPECT_TRUE(own.watched.on);
+  EXPECT_EQ(own.watched.weights, Weights::kNone);
+  EXPECT_EQ(own.watched.fall, std::chrono::milliseconds(1500));
+  EXPECT_EQ(own.watched.Over(own.settings).senders, 9);
+  EXPECT_EQ(own.watched.Over(own.settings).price_handshake, 0.02);  // not given: as in force
+  const std::string platform =
+      R"({"settings":{"weightKind":"nominal","caps":{"retryAfter":false},"prices":{"handshake":0.06}},
+          "watch":{"on":true,"weights":"off","retry_advice":true,"max_attempts":6}})";
+  const node::Config told = node::MakeConfig({{true, "f.toml", kGood}, {true, "p.json", platform}, {}});
+  EXPECT_EQ(told.settings.weights, Weights::kNominal);
+  EXPECT_FALSE(told.settings.retry_advice);
+  EXPECT_EQ(told.settings.price_handshake, 0.06);
+  EXPECT_EQ(told.watched.weights, Weights::kNone);
+  EXPECT_EQ(told.watched.max_attempts, 6);
+  EXPECT_EQ(node::Changed(plain, told).settings.weights, Weights::kNominal);  // while it runs, and back
+  EXPECT_EQ(node::Changed(told, plain).settings.weights, Weights::kNone);
+}
+
+TEST(NewShape, WhatIsWrongIsNamedInBothForms) {
+  const auto faults = [](const std::string& toml, const std::string& platform) -> std::string {
+    try {
+      node::MakeConfig({{true, "f.toml", toml}, {!platform.empty(), "p.json", platform}, {}});
+    } catch (const node::ConfigError& error) {
+      return error.what();
+    }
+    return "";
+  };
+  const auto own = [](const std::string& more) {
+    std::string text = kGood;
+    return text.insert(text.find("[delivery]\n") + 11, more);
+  };
+  for (const auto& [more, says] : std::vector<std::pair<std::string, std::string>>{
+           {"weights = \"heavy\"\n", "f.toml:8:11: delivery.weights"},
+           {"weights = 3\n", "f.toml:8:11: delivery.weights"},
+           {"retry_advice = \"no\"\n", "delivery.retry_advice"},
+           {"connection_price = -1\n", "delivery.connection_price"},
+           {"retry_advice = false\nmax_retry_after = \"2s\"\n", "no client would hear it"}}) {
+    EXPECT_NE(faults(own(more), "").find(says), std::string::npos) << more << ": " << faults(own(more), "");
+  }
+  EXPECT_NE(faults(kGood + "[watch]\non = 1\nfall = \"0s\"\n", "").find("watch.on"), std::string::npos);
+  EXPECT_NE(faults(kGood + "[watch]\non = 1\nfall = \"0s\"\n", "").find("watch.fall"), std::string::npos);
+  const std::string bad = faults(kGood, R"({"watch":{"on":"yes","weights":"heavy","senders":0,"rest":1}})");
+  for (const char* name : {"watch.on", "watch.weights", "watch.senders", "watch.rest"})
+    EXPECT_NE(bad.find(name), std::string::npos) << bad;
+  EXPECT_NE(faults(kGood, R"({"settings":{"weightKind":"heavy"}})").find("weightKind"), std::string::npos);
+}
+
 TEST(Layers, TablesAreComparedByNameNotByPlace) {
   const auto shown = [](const std::string& text) {
     return node::MakeConfig({{true, "f", text}, {}, {}}).shown;
