--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -1,8 +1,7 @@
 // The decision module: every choice the delivery node makes. Its interface is src/brain.h.
 //
 // Order: constants; state; events; worth; the guard of the six rules (MayRefuse to InBudget); bucket; due
-// answers; sending; connections; outcomes. A "lane" is what one bucket paces: a destination or an apart
-// route.
+// answers; sending; connections; outcomes. A "lane" is what one bucket paces: a destination or apart route.
 #include "brain.h"
 
 #include <algorithm>
@@ -37,12 +36,11 @@
 constexpr double kBudgetShare = 0.8;         // part of the allowed budget that is used: slack for chance
 constexpr Micros kLeastOutage = seconds(4);  // a shorter gap in service leaves nothing cold
 constexpr int kSingleHeadStart = 2;          // after one failure alone: part of the cold time taken as over
-constexpr double kLimitInUse = 0.8;       // share left of a told limit under which it is taken to be in use
-constexpr double kExtraItemWeight = 0.2;  // load of each further message in one call
-constexpr double kOutageShare = 0.5;      // failing share of recent calls that is no blip
-constexpr double kMemory = 0.1;           // weight of the newest call in shares and latencies
-constexpr Micros kThinClump =
-    seconds(4);  // of a destination's calls may wait at as many senders, one trial each
+constexpr double kLimitInUse = 0.8;        // share left of a told limit under which it is taken to be in use
+constexpr double kExtraItemWeight = 0.2;   // load of each further message in one call
+constexpr double kOutageShare = 0.5;       // failing share of recent calls that is no blip
+constexpr double kMemory = 0.1;            // weight of the newest call in shares and latencies
+constexpr Micros kThinClump = seconds(4);  // of a destination's calls may wait at as many senders
 constexpr Micros kMoment = milliseconds(250);  // between trials in doubt; between calls for the list
 constexpr Micros kAskedSpan = seconds(10);     // the same for one destination
 constexpr double kRoughSafe = 1 / 1.5;         // part of a rough listed limit that is there at the least
@@ -52,6 +50,7 @@
 // Time-outs, slots and waking.
 constexpr double kTimeoutDeviations = 8;   // time-out = mean + so many deviations: rarely cuts a live call
 constexpr double kPatience = 4;            // aims that a call may take where answer times are not known yet
+constexpr double kOldPatience = 0.5;       // the same on a connection that idled: if it is dead, time is left
 constexpr int kKnownAnswers = 5;           // calls: then they are
 constexpr int kMostDoublings = 4;          // of a message's time-out
 constexpr double kLatencyMemory = 0.15;    // weight of the newest latency
@@ -62,6 +61,7 @@
 constexpr Micros kFreshFor = seconds(10);  // then no old connection is used for so long
 constexpr int kExplainedRun = 3;           // failures in a row that need no outage, of most kinds
 constexpr double kKeepForPrice = 100;      // seconds that a connection is kept unused, for a price of 1
+constexpr double kTablePlaces = 4;         // connections that any endpoint is believed to take
 constexpr double kCrowdedShare = 0.05;     // failed connects that tell
 constexpr double kCrowdedRise = 0.1;       // weight of a failed connect in that share
 constexpr double kCrowdedFall = 0.005;     // weight of one that was made
@@ -649,10 +649,10 @@
   }
 
   Micros Timeout(const Held& held, const Lane& lane, bool old_connection) const {
-    const bool known =
-        lane.answered >= kKnownAnswers || (old_connection && held.c->effect != Effect::kUnsafe);
-    const double least = Seconds(held.c->aim) * (known ? 1 : kPatience);
-    const Micros base = ToMicros(std::max(least, lane.mean + kTimeoutDeviations * lane.deviation));
+    const bool old = old_connection && held.c->effect != Effect::kUnsafe;
+    const double aims = old ? kOldPatience : lane.answered < kKnownAnswers ? kPatience : 1;
+    const Micros base =
+        ToMicros(std::max(aims * Seconds(held.c->aim), lane.mean + kTimeoutDeviations * lane.deviation));
     // A message that timed out may just be slow: it gets more time, within limits while its lane is in trial.
     const int most = lane.health.phase == Phase::kTrial ? 1 : kMostDoublings;
     return std::min<Micros>(base * (1 << std::min(held.timeouts, most)), held.message.give_up_at - now_);
@@ -694,7 +694,7 @@
   // Before a stop: only what should end by then. What the stop cuts off may have run.
   bool EndsInTime(const Held& held, const Lane& lane) const {
     const bool sure = lane.mean > 0 && held.c->effect != Effect::kUnsafe;
-    return stop_at_ - now_ >= (sure ? ToMicros(lane.mean + 2 * lane.deviation) : Timeout(held, lane, true));
+    return stop_at_ - now_ >= (sure ? ToMicros(lane.mean + 2 * lane.deviation) : Timeout(held, lane, false));
   }
 
   bool HasRoom(const Held& held, const Route& route, Lane& lane) {
@@ -750,7 +750,7 @@
   // given back after use, since idle ones of all senders take the places.
   bool UsedSoon(const Route& route) const {
     const double keep = kKeepForPrice * set_.price_handshake;  // 0: no reason to give one back
-    return keep <= 0 || std::max(route.used.Now(now_), 1.0 / set_.senders) * keep >= 1;
+    return keep <= 0 || std::max(route.used.Now(now_), kTablePlaces / set_.senders) * keep >= 1;
   }
 
   bool Crowded(const Route& route) { return crowded_[route.endpoint.kind] > kCrowdedShare; }
@@ -868,7 +868,7 @@
     if (!explained || route.explained > (limit || no_place ? 1 : kExplainedRun) ||
         lane.health.phase == Phase::kTrial)
       for (Health* health : {&lane.health, &route.health})
-        Judge(*health, ok, call.sent, outcome.wait > kBurst || route.explained > 1);
+        Judge(*health, ok, call.sent, !limit && (outcome.wait > kBurst || route.explained > 1));
     else
       route.health.bad_share += kMemory * (1 - route.health.bad_share);  // others are tried first
     if (ok) {
