Operators' HTTP address, quiesce, figures, and a successor that shares the state folder

Ruled out: limits (descriptors 121 of 384, memory 0 of 48 MB), and the module (it never saw the second start).

Not taken: putting HTTP on the existing Unix control socket, since the platform calls a TCP address. - Quiesce: PING says -ERR draining (also while stopping), and clients that stand between requests are let go every 50 ms; taken messages go on. Resume undoes both. - Replacement: every listener sets SO_REUSEPORT.

Tests: OpsTest.* (health, silent callers, figures, reloads, quiesce and resume, a successor that takes over), Config.AClassWhoseEffectChanges... ; they fail without the change.

--- a/src/base/log_events.h
+++ b/src/base/log_events.h
@@ -199,6 +199,28 @@
     "A peer at the control socket was turned away.",
     {{{"uid", "of the peer, where known"}, {"reason", "why"}}}};
 
+// ---- Operations -------------------------------------------------------------------------------------------
+inline constexpr Event<kText> kJournalShared{
+    "journal.shared",
+    kInfo,
+    "Another process serves from the state folder: this one keeps a journal of its own until that one ends.",
+    {{{"folder", "the state folder"}}}};
+inline constexpr Event<kBytes> kJournalTakenOver{
+    "journal.taken_over",
+    kInfo,
+    "The process before this one has ended; what it left is resumed here.",
+    {{{"bytes", "read"}}}};
+inline constexpr Event<kCount, kCount> kQuiesced{
+    "quiesced",
+    kInfo,
+    "Asked to empty: PING says no, clients are let go between requests, held messages go on.",
+    {{{"open", "messages held"}, {"clients", "connections of clients"}}}};
+inline constexpr Event<kCount, kCount> kResumedWork{
+    "resumed.work",
+    kInfo,
+    "Back to work after a quiesce: PING says yes.",
+    {{{"open", "messages held"}, {"clients", "connections"}}}};
+
 // ---- The log itself ---------------------------------------------------------------------------------------
 inline constexpr Event<kText, kCount> kLogHeldBack{
     "log.held_back",
@@ -219,7 +241,7 @@
       kDiscoveryMoved, kNoticeUnreadable, kMessageEnded, kMessageDelivered, kClientEnded, kConfigServes,
       kConfigRefused, kConfigOnTrial, kConfigKept, kConfigUndone, kConfigInterrupted, kConfigNeedsRestart,
       kConfigUnusable, kConfigSame, kConfigStoreFailed, kControlOpen, kControlFailed, kControlRefused,
-      kLogHeldBack, kLogDropped);
+      kJournalShared, kJournalTakenOver, kQuiesced, kResumedWork, kLogHeldBack, kLogDropped);
 }
 
 }  // namespace indigosaddle::base
--- a/src/config/layers.cpp
+++ b/src/config/layers.cpp
@@ -27,7 +27,8 @@
 constexpr Variable kVariables[] = {{"EDGE_NAME", "name"},
                                    {"EDGE_LISTEN", "listen"},
                                    {"EDGE_DISCOVERY", "discovery"},
-                                   {"EDGE_STATE", "state"}};
+                                   {"EDGE_STATE", "state"},
+                                   {"EDGE_CONTROL", "control"}};
 
 // The variable that decides the value, if any. A platform's file that names discovery is the later word: it
 // may be replaced while the program runs, its environment not.
--- a/src/config/schema.cpp
+++ b/src/config/schema.cpp
@@ -105,6 +105,9 @@
       {"node.state", "state", kText, 1, 4096, "", kStart, "",
        "The folder that lasts: journal, generations, control socket.",
        "Never while messages are owed: another folder knows nothing of them."},
+      {"node.control", "control", kAddress, 0, 0, "", kStart, "",
+       "The operators' HTTP address, as ip:port: /admin/health, /admin/stats, /admin/quiesce, /admin/resume.",
+       "Set it where a platform checks health or fetches the figures; leave it out for none."},
       {"node.seed", "seed", kText, 1, 16, "", kStart, "", "Seed of random choices, up to 16 hex digits.",
        "Leave it out: each start then draws one. Set it to repeat a run."},
       // ---- limits
--- a/src/net/call_pool.cpp
+++ b/src/net/call_pool.cpp
@@ -130,10 +130,14 @@
       failure_ = Ending::kBrokenBeforeSent;
       return timeout_.Start(Micros(0));
     }
-    sent_ = stream_.unwritten() == 0;
+    if (stream_.unwritten() == 0) Sent();
   }
 
-  void OnDrained() override { sent_ = true; }
+  void OnDrained() override { Sent(); }
+
+  void Sent() {
+    if (!std::exchange(sent_, true)) ++pool_.written_;
+  }
 
   // A call is settled by its answer's head once that is in, or by its first line alone where that says 200.
   // The body means nothing; but where the head is no 200, one that does not come as told makes it doubtful.
--- a/src/net/call_pool.h
+++ b/src/net/call_pool.h
@@ -45,6 +45,7 @@
   void CloseIdle(const std::string& host);
   std::size_t connections() const { return busy_.size() + rest_.size() + idle_count_; }
   std::size_t opened() const { return opened_; }
+  std::uint64_t written() const { return written_; }  // calls whose last byte was handed over
 
  private:
   class Connection;
@@ -69,6 +70,7 @@
   Owned busy_, rest_;                 // rest: answered, but the answer's body is not all in
   std::map<std::string, Idle> idle_;  // by endpoint, never by address: a new one may take a gone one's
   std::size_t idle_count_ = 0, opened_ = 0;
+  std::uint64_t written_ = 0;
   std::vector<std::unique_ptr<Connection>> buried_;  // may still be in one of their callbacks
   Timer sweep_, bury_;
 };
--- a/src/net/resp_server.cpp
+++ b/src/net/resp_server.cpp
@@ -1,9 +1,11 @@
 #include "net/resp_server.h"
 
 #include <fmt/format.h>
+#include <sys/socket.h>
 
 #include <algorithm>
 #include <cctype>
+#include <cerrno>
 #include <deque>
 #include <optional>
 #include <set>
@@ -13,6 +15,19 @@
 namespace {
 
 constexpr int kBacklog = 511;
+
+// A process that replaces this one listens on the same address while this one still serves; the kernel then
+// spreads new connections over both. Both must ask for it, so every listener does.
+int ShareThePort(uv_tcp_t& listener) {
+  uv_os_fd_t descriptor = -1;
+  if (const int error = uv_fileno(reinterpret_cast<uv_handle_t*>(&listener), &descriptor); error != 0) {
+    return error;
+  }
+  const int yes = 1;
+  if (setsockopt(descriptor, SOL_SOCKET, SO_REUSEPORT, &yes, sizeof yes) != 0)
+    return uv_translate_sys_error(errno);
+  return 0;
+}
 constexpr std::size_t kMostUnwritten =
     std::size_t{64} * 1024;                   // of replies: a slow reader is read no further
 constexpr std::size_t kMostUnanswered = 256;  // commands of one connection
@@ -190,7 +205,8 @@
 
   void Run(const std::vector<std::string>& command) {
     if (Is(command[0], "PING")) {
-      replies_.back() = command.size() > 2    ? "-ERR PING takes at most one word\r\n"
+      replies_.back() = !server_.ready_       ? "-ERR draining\r\n"
+                        : command.size() > 2  ? "-ERR PING takes at most one word\r\n"
                         : command.size() == 2 ? fmt::format("${}\r\n{}\r\n", command[1].size(), command[1])
                                               : "+PONG\r\n";
       return;
@@ -273,9 +289,10 @@
   sockaddr_storage at{};
   if (!ParseAddress(address, at)) return UV_EINVAL;
   listener_ = new uv_tcp_t{};
-  uv_tcp_init(loop_.raw(), listener_);
+  uv_tcp_init_ex(loop_.raw(), listener_, at.ss_family);
   listener_->data = this;
-  int error = uv_tcp_bind(listener_, reinterpret_cast<const sockaddr*>(&at), 0);
+  int error = ShareThePort(*listener_);
+  if (error == 0) error = uv_tcp_bind(listener_, reinterpret_cast<const sockaddr*>(&at), 0);
   if (error == 0) {
     error =
         uv_listen(reinterpret_cast<uv_stream_t*>(listener_), kBacklog, [](uv_stream_t* stream, int status) {
--- a/src/net/resp_server.h
+++ b/src/net/resp_server.h
@@ -59,6 +59,9 @@
   // where `all`. True when none is left.
   bool CloseQuiet(bool all);
   std::size_t connections() const { return connections_.size(); }
+  // While false, PING is answered with an error: a front that asks moves its clients elsewhere.
+  void SetReady(bool ready) { ready_ = ready; }
+  bool ready() const { return ready_; }
 
  private:
   class Connection;
@@ -74,6 +77,7 @@
   std::size_t unread_bytes_ = 0;
   uv_tcp_t* listener_ = nullptr;  // closed and freed by the loop
   bool waiting_ = false;          // a client that there was no room for
+  bool ready_ = true;
   std::uint64_t last_connection_ = 0;
   std::map<std::uint64_t, std::unique_ptr<Connection>> connections_;
   std::list<std::unique_ptr<Connection>> buried_;  // may still be in one of their callbacks
--- a/src/node/changes.cpp
+++ b/src/node/changes.cpp
@@ -110,6 +110,7 @@
   try {
     next = ReadSources(EdgeEnvironment(), operators_path_);
   } catch (const ConfigError& error) {
+    ++reload_errors_;
     return log_.Write(base::kConfigUnusable, error.what());
   }
   // The platform's word first. It is a fact and not on trial: undoing it would leave the node at an address
@@ -124,8 +125,10 @@
     Config adopted = Changed(owner_.running(), told);
     changed = adopted.shown != owner_.running().shown;
     sources_.platform = next.platform;
+    ++reloads_;
     if (changed) owner_.Adopt(std::move(adopted));
   } catch (const ConfigError& error) {
+    ++reload_errors_;
     log_.Write(base::kConfigUnusable, error.what());
   }
   const bool proposes = store_ != nullptr && config::Hash(file) != transactions_.history().seen_file;
--- a/src/node/changes.h
+++ b/src/node/changes.h
@@ -50,7 +50,9 @@
   Changes(net::Loop& loop, Owner& owner, Beginning beginning, base::Log& log);
 
   void Start();
-  void Reload();  // SIGHUP: reads both files again
+  void Reload();                                                  // SIGHUP: reads both files again
+  std::uint64_t reloads() const { return reloads_; }              // taken at SIGHUP
+  std::uint64_t reload_errors() const { return reload_errors_; }  // turned down at SIGHUP
   void Stop();
   void Count(config::Sign sign, Micros now) { guard_.Count(sign, now); }
 
@@ -82,6 +84,7 @@
   Owner& owner_;
   base::Log& log_;
   config::Sources sources_;  // in force
+  std::uint64_t reloads_ = 0, reload_errors_ = 0;
   const std::string operators_path_;
   const StepHook step_;
   std::unique_ptr<config::Store> store_;  // none without an operator's file
--- a/src/node/config.cpp
+++ b/src/node/config.cpp
@@ -157,8 +157,10 @@
   config.listen = Required(Text(whole, "listen"), "listen");
   config.discovery = Required(Text(whole, "discovery"), "discovery");
   config.state_folder = Required(Text(whole, "state"), "EDGE_STATE");
+  config.control = Text(whole, "control");
   CheckAddress(config.listen, "listen");
   CheckAddress(config.discovery, "discovery");
+  if (!config.control.empty()) CheckAddress(config.control, "control");
 
   const json& limits = At(whole, "limits");
   if (!limits.is_object()) throw ConfigError("limits: expected an object");
@@ -301,14 +303,16 @@
 namespace {
 
 // Items of a list keep their numbers; those that went keep their place without a name. What is new follows.
-template <typename Item, typename Update>
+// An item that `same` finds too changed to carry is new under its old name: what is held keeps the old one.
+template <typename Item, typename Update, typename Same>
 void CarryList(std::map<std::string, int>& names, std::vector<Item>& items,
                const std::map<std::string, int>& next_names, const std::vector<Item>& next_items,
-               const Update& update) {
+               const Update& update, const Same& same) {
   std::map<std::string, int> numbers;
   for (const auto& [name, number] : next_names) {
     const Item& item = next_items[static_cast<std::size_t>(number)];
-    if (const auto it = names.find(name); it != names.end()) {
+    if (const auto it = names.find(name);
+        it != names.end() && same(items[static_cast<std::size_t>(it->second)], item)) {
       numbers.emplace(name, it->second);
       update(items[static_cast<std::size_t>(it->second)], item);
     } else {
@@ -340,12 +344,21 @@
   s.weights = n.weights;
   s.retry_advice = n.retry_advice;
   s.over_share_worth = n.over_share_worth;
-  CarryList(changed.classes, s.classes, next.classes, n.classes,
-            [](ClassSettings& c, const ClassSettings& to) {
-              c.aim = to.aim, c.deadline = to.deadline, c.worth = to.worth, c.late_value = to.late_value;
-            });
-  CarryList(changed.tenants, s.tenants, next.tenants, n.tenants,
-            [](TenantSettings& t, const TenantSettings& to) { t = to; });
+  // A message that was taken keeps the rules of its class as they were: where what a repeat may do changes,
+  // the name goes to a class of its own.
+  CarryList(
+      changed.classes, s.classes, next.classes, n.classes,
+      [](ClassSettings& c, const ClassSettings& to) {
+        c.aim = to.aim, c.deadline = to.deadline, c.worth = to.worth, c.late_value = to.late_value;
+      },
+      [](const ClassSettings& c, const ClassSettings& to) {
+        return c.effect == to.effect && c.group == to.group && c.key_ttl == to.key_ttl &&
+               c.sequential == to.sequential;
+      });
+  CarryList(
+      changed.tenants, s.tenants, next.tenants, n.tenants,
+      [](TenantSettings& t, const TenantSettings& to) { t = to; },
+      [](const TenantSettings&, const TenantSettings&) { return true; });
   changed.shown = next.shown;
   for (config::Shown& shown : changed.shown) {  // what a restart alone changes shows as it runs
     if (shown.change != config::Change::kRestart) continue;
@@ -368,7 +381,8 @@
 
 std::map<std::string, std::string> EdgeEnvironment() {
   std::map<std::string, std::string> environment;
-  for (const char* name : {"EDGE_NAME", "EDGE_LISTEN", "EDGE_DISCOVERY", "EDGE_STATE", "EDGE_CONFIG"}) {
+  for (const char* name :
+       {"EDGE_NAME", "EDGE_LISTEN", "EDGE_DISCOVERY", "EDGE_STATE", "EDGE_CONTROL", "EDGE_CONFIG"}) {
     if (const char* value = std::getenv(name)) environment[name] = value;
   }
   return environment;
--- a/src/node/config.h
+++ b/src/node/config.h
@@ -23,7 +23,8 @@
 
 struct Config {
   std::string name, listen, discovery, state_folder;
-  std::string known;  // the list as last held, in discovery's form; empty: none
+  std::string control;  // the operators' HTTP address; empty: none
+  std::string known;    // the list as last held, in discovery's form; empty: none
   std::size_t memory_bytes = 0, sockets = 0, disk_bytes = 0;
   Micros connect_timeout{0};
   Settings settings;
--- a/src/node/journal_file.cpp
+++ b/src/node/journal_file.cpp
@@ -1,6 +1,7 @@
 #include "node/journal_file.h"
 
 #include <fcntl.h>
+#include <sys/file.h>
 #include <sys/stat.h>
 #include <unistd.h>
 
@@ -26,9 +27,39 @@
 }  // namespace
 
 JournalFile::JournalFile(std::string folder)
-    : folder_(std::move(folder)), path_(folder_ + "/journal"), new_path_(folder_ + "/journal.new") {}
+    : folder_(std::move(folder)),
+      owners_path_(folder_ + "/journal"),
+      next_path_(folder_ + "/journal.next"),
+      path_(owners_path_),
+      new_path_(owners_path_ + ".new") {}
 
-JournalFile::~JournalFile() { Close(); }
+JournalFile::~JournalFile() {
+  Close();
+  if (lock_ >= 0) close(lock_);
+}
+
+bool JournalFile::Claim() {
+  if (lock_ >= 0) return true;
+  const int file = open((folder_ + "/journal.lock").c_str(), O_RDWR | O_CREAT | O_CLOEXEC, 0600);
+  if (file < 0) return false;
+  if (flock(file, LOCK_EX | LOCK_NB) != 0) {
+    close(file);
+    if (!std::exchange(successor_, true)) {
+      Close();
+      path_ = next_path_;
+      new_path_ = next_path_ + ".new";
+    }
+    return false;
+  }
+  lock_ = file;
+  successor_ = false;
+  // The next write is a rewrite of all that is owed, into the owner's file; until then this process's own
+  // file stays, for it holds what is owed.
+  Close();
+  path_ = owners_path_;
+  new_path_ = owners_path_ + ".new";
+  return true;
+}
 
 void JournalFile::Close() {
   if (descriptor_ >= 0) close(std::exchange(descriptor_, -1));
@@ -41,8 +72,22 @@
     trouble = "it is no folder";
     return false;
   }
-  if (unlink(new_path_.c_str()) == 0) trouble = "a rewrite was cut off; the journal before it holds";
-  const int file = open(path_.c_str(), O_RDONLY | O_CLOEXEC);
+  if (!successor_ && unlink((owners_path_ + ".new").c_str()) == 0) {
+    trouble = "a rewrite was cut off; the journal before it holds";
+  }
+  return ReadFile(owners_path_, most, bytes, trouble);
+}
+
+bool JournalFile::ReadNext(std::size_t most, std::string& bytes, std::string& trouble) {
+  bytes.clear();
+  if (unlink((next_path_ + ".new").c_str()) == 0)
+    trouble = "a rewrite was cut off; the journal before it holds";
+  return ReadFile(next_path_, most, bytes, trouble);
+}
+
+bool JournalFile::ReadFile(const std::string& path, std::size_t most, std::string& bytes,
+                           std::string& trouble) const {
+  const int file = open(path.c_str(), O_RDONLY | O_CLOEXEC);
   if (file < 0) {
     if (errno == ENOENT) return true;
     trouble = std::strerror(errno);
@@ -82,6 +127,8 @@
   Close();
   descriptor_ = file;
   size_ = bytes.size();
+  // The owner's file now holds all: what a successor wrote before it took over is in it.
+  if (path_ == owners_path_) unlink(next_path_.c_str());
   return true;
 }
 
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -23,6 +23,13 @@
 constexpr Micros kLeaveAgain = milliseconds(10);
 constexpr Micros kJournalAgain = milliseconds(50);
 constexpr Micros kReportEvery = seconds(10);
+// A successor asks this often whether the process before it has ended; what that one left waits no longer.
+constexpr Micros kClaimEvery = milliseconds(50);
+// A quiesced node lets a client go once it stands between requests. The front sends new connections for a
+// short while after it learns; those are let go the same way.
+constexpr Micros kLetGoEvery = milliseconds(50);
+// A successor's messages are numbered past all that the process before it can number meanwhile.
+constexpr state::Serial kSuccessorGap = state::Serial{1} << 32;
 constexpr Micros kTickEvery = seconds(1);
 
 // Descriptors: what the program needs besides connections, and the shares of the rest.
@@ -78,13 +85,16 @@
       discovery_(loop, *this, config_.discovery),
       notices_(loop, *this, config_.discovery),
       control_(loop, *this),
+      admin_(loop, *this),
       changes_(loop, *this, std::move(beginning), log),
       turn_timer_(loop, [this] { Wake(); }),
       later_timer_(loop, [this] { turn_due_ = true; }),
       leave_timer_(loop, [this] { LeaveClients(); }),
       finish_timer_(loop, [this] { Finish(); }),
       report_timer_(loop, [this] { Report(); }),
-      tick_timer_(loop, [this] { Tick(); }) {
+      tick_timer_(loop, [this] { Tick(); }),
+      claim_timer_(loop, [this] { TryClaim(); }),
+      quiet_timer_(loop, [this] { LetQuietGo(); }) {
   uv_prepare_init(loop.raw(), &prepare_);
   uv_check_init(loop.raw(), &check_);
   uv_idle_init(loop.raw(), &idle_);
@@ -98,17 +108,50 @@
   uv_run(loop_.raw(), UV_RUN_NOWAIT);  // these three are members: they must be closed before they go
 }
 
+namespace {
+
+// The messages of a journal: its records, and the highest number that it gave.
+state::ReadJournal Parsed(const std::string& bytes, state::Serial& highest) {
+  state::ReadJournal read = state::ParseJournal(bytes);
+  for (const state::Record& record : read.records) {
+    if (const auto* taken = std::get_if<state::Taken>(&record)) highest = std::max(highest, taken->serial);
+  }
+  return read;
+}
+
+}  // namespace
+
 bool Node::Start() {
   started_at_ = loop_.Now();
+  const bool owner = journal_.Claim();
   std::string bytes, trouble;
   if (!journal_.Read(config_.disk_bytes, bytes, trouble)) {
     log_.Write(base::kFolderUnusable, config_.state_folder, trouble);
     return false;
   }
   log_.Write(base::kJournalFound, bytes.size());
-  state::ReadJournal old = state::ParseJournal(bytes);
-  if (!trouble.empty()) log_.Write(base::kJournalDamaged, trouble, bytes.size(), bytes.size());
-  if (!old.trouble.empty()) log_.Write(base::kJournalDamaged, old.trouble, old.read, bytes.size());
+  state::Serial highest = 0;
+  state::ReadJournal old = Parsed(bytes, highest);
+  state::Recovered recovered;
+  if (owner) {
+    if (!trouble.empty()) log_.Write(base::kJournalDamaged, trouble, bytes.size(), bytes.size());
+    if (!old.trouble.empty()) log_.Write(base::kJournalDamaged, old.trouble, old.read, bytes.size());
+    recovered.records = std::move(old.records);
+    // A successor that died before it took over left its own file.
+    std::string next;
+    trouble.clear();
+    if (journal_.ReadNext(config_.disk_bytes, next, trouble) && !next.empty()) {
+      log_.Write(base::kJournalFound, next.size());
+      state::ReadJournal more = Parsed(next, highest);
+      if (!more.trouble.empty()) log_.Write(base::kJournalDamaged, more.trouble, more.read, next.size());
+      for (state::Record& record : more.records) recovered.records.push_back(std::move(record));
+    }
+  } else {
+    // Another process serves from this folder: what it owes is its own until it ends.
+    recovered.numbered_past = highest + kSuccessorGap;
+    log_.Write(base::kJournalShared, config_.state_folder);
+    claim_timer_.Start(kClaimEvery);
+  }
   if (!config_.known.empty()) {
     if (auto news = net::ParseMembers(config_.known)) {
       news->whole = true;
@@ -117,12 +160,18 @@
       log_.Write(base::kKnownUnreadable, "known");
     }
   }
-  Push(state::Recovered{std::move(old.records)});
+  Push(std::move(recovered));
   RunTurn();
   if (const int error = server_.Listen(config_.listen); error != 0) {
     log_.Write(base::kListenFailed, config_.listen, uv_strerror(error));
     return false;
   }
+  if (!config_.control.empty()) {
+    if (const int error = admin_.Listen(config_.control); error != 0) {
+      log_.Write(base::kListenFailed, config_.control, uv_strerror(error));
+      return false;
+    }
+  }
   const auto turn = [](auto* handle) {
     auto* self = static_cast<Node*>(handle->data);
     if (self->turn_due_ || !self->events_.empty()) self->RunTurn();
@@ -143,9 +192,28 @@
   return true;
 }
 
+// The process before this one has ended once its lock is free; what it still owed is resumed here.
+void Node::TryClaim() {
+  if (!journal_.Claim()) return claim_timer_.Start(kClaimEvery);
+  std::string bytes, trouble;
+  if (!journal_.Read(config_.disk_bytes, bytes, trouble)) {
+    log_.Write(base::kFolderUnusable, config_.state_folder, trouble);
+  }
+  state::Serial highest = 0;
+  state::ReadJournal old = Parsed(bytes, highest);
+  if (!old.trouble.empty()) log_.Write(base::kJournalDamaged, old.trouble, old.read, bytes.size());
+  log_.Write(base::kJournalTakenOver, bytes.size());
+  state::Recovered recovered;
+  recovered.records = std::move(old.records);
+  recovered.now = loop_.Now();
+  Push(std::move(recovered));
+  RunTurn();
+}
+
 void Node::Stop() {
   if (std::exchange(stopping_, true)) return;
   log_.Write(base::kStopping, state_.open());
+  server_.SetReady(false);
   changes_.Stop();
   Push(state::StopAsked{loop_.Now() + kFinishAfter});
   stop_listening_at_ = loop_.Now() + kStopListeningAfter;
@@ -196,6 +264,91 @@
   if (!changes_.Request(request, answer)) answer({{"ok", false}, {"text", "unknown op"}});
 }
 
+// ---- Operations -----------------------------------------------------------------------------------------
+
+bool Node::Ready() const { return !stopping_ && !quiesced_; }
+
+net::AdminAnswer Node::OnAdmin(std::string_view method, std::string_view path) {
+  const bool get = method == "GET" || method == "HEAD";
+  const auto only = [&](bool allowed, auto&& answer) -> net::AdminAnswer {
+    if (!allowed) return {405, fmt::format("{} takes {}\n", path, get ? "POST" : "GET")};
+    return answer();
+  };
+  if (path == "/admin/health") {
+    return only(get, [&]() -> net::AdminAnswer {
+      if (stopping_) return {503, "stopping\n"};
+      if (quiesced_) return {503, "quiesced\n"};
+      return {200, "ready\n"};
+    });
+  }
+  if (path == "/admin/stats") return only(get, [&]() -> net::AdminAnswer { return {200, Figures()}; });
+  if (path == "/admin/quiesce") {
+    return only(method == "POST", [&]() -> net::AdminAnswer {
+      Quiesce();
+      return {200, fmt::format("quiesced; {} messages open\n", state_.open())};
+    });
+  }
+  if (path == "/admin/resume") {
+    return only(method == "POST", [&]() -> net::AdminAnswer {
+      if (stopping_) return {503, "stopping\n"};
+      ResumeWork();
+      return {200, "ready\n"};
+    });
+  }
+  return {404, "no such call; there are /admin/health, /admin/stats, /admin/quiesce and /admin/resume\n"};
+}
+
+// A front asks PING and sends no new clients once it says no. Those that stay are let go as soon as they
+// stand between requests; the messages that the node holds are delivered as ever.
+void Node::Quiesce() {
+  if (stopping_) return;
+  if (!std::exchange(quiesced_, true)) log_.Write(base::kQuiesced, state_.open(), server_.connections());
+  server_.SetReady(false);
+  quiet_timer_.Start(kLetGoEvery);
+}
+
+void Node::ResumeWork() {
+  if (std::exchange(quiesced_, false)) log_.Write(base::kResumedWork, state_.open(), server_.connections());
+  server_.SetReady(true);
+  quiet_timer_.Stop();
+}
+
+void Node::LetQuietGo() {
+  if (!quiesced_ || stopping_) return;
+  server_.CloseQuiet(false);
+  quiet_timer_.Start(kLetGoEvery);
+}
+
+// The figures in the statsd form, counts from the start of the process.
+std::string Node::Figures() const {
+  std::string out;
+  for (const auto& [name, number] : config_.classes) {
+    const auto it = by_class_.find(name);
+    const ClassFigures figures = it == by_class_.end() ? ClassFigures{} : it->second;
+    out += fmt::format(
+        "app.downstream_requests.{0}.completed:{1}|c\napp.downstream_requests.{0}.rejected:{2}|c\n"
+        "app.downstream_requests.{0}.failed:{3}|c\n",
+        name, figures.completed, figures.rejected, figures.failed);
+  }
+  for (const auto& [name, figures] : by_class_) {  // classes that a change has dropped still count
+    if (config_.classes.contains(name)) continue;
+    out += fmt::format(
+        "app.downstream_requests.{0}.completed:{1}|c\napp.downstream_requests.{0}.rejected:{2}|c\n"
+        "app.downstream_requests.{0}.failed:{3}|c\n",
+        name, figures.completed, figures.rejected, figures.failed);
+  }
+  std::size_t unavailable = 0;
+  for (const auto& [id, listed] : state_.listed) {
+    if (listed.endpoint.state != EndpointState::kReady) ++unavailable;
+  }
+  out += fmt::format(
+      "app.upstream_requests:{}|c\napp.pending:{}|g\napp.members:{}|g\napp.members_unavailable:{}|g\n"
+      "app.config_reloads:{}|c\napp.config_reload_errors:{}|c\n",
+      pool_.written(), state_.open(), state_.listed.size(), unavailable, changes_.reloads(),
+      changes_.reload_errors());
+  return out;
+}
+
 void Node::OnControlRefused(std::uint64_t uid, std::string_view reason) {
   log_.Write(base::kControlRefused, uid, reason);
 }
@@ -378,6 +531,12 @@
                                                  : "failed";
   delivered_ += e.over == Over::kDelivered, returned_ += e.over == Over::kReturned,
       given_up_ += e.over == Over::kFailed;
+  if (e.over != Over::kWithdrawn) {
+    ClassFigures& figures = by_class_[e.message_class];
+    ++(e.over == Over::kDelivered  ? figures.completed
+       : e.over == Over::kReturned ? figures.rejected
+                                   : figures.failed);
+  }
   if (e.over != Over::kWithdrawn) {
     changes_.Count(e.over == Over::kReturned ? config::Sign::kRefused
                    : e.over == Over::kFailed ? config::Sign::kFailed
@@ -401,6 +560,10 @@
     line = millis > 0 ? fmt::format("-BUSY {}\r\n", millis) : "-BUSY\r\n";
   }
   ++(e.answer == state::Answer::kTaken ? taken_ : e.answer == state::Answer::kBusy ? busy_ : failed_);
+  if (e.answer != state::Answer::kTaken && !e.message_class.empty()) {
+    ClassFigures& figures = by_class_[e.message_class];
+    ++(e.answer == state::Answer::kBusy ? figures.rejected : figures.failed);
+  }
   if (e.answer != state::Answer::kTaken) {
     changes_.Count(e.answer == state::Answer::kBusy ? config::Sign::kRefused : config::Sign::kFailed,
                    loop_.Now());
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -4,12 +4,14 @@
 
 #include <array>
 #include <deque>
+#include <map>
 #include <memory>
 #include <string>
 #include <vector>
 
 #include "base/log.h"
 #include "brain.h"
+#include "net/admin_server.h"
 #include "net/call_pool.h"
 #include "net/control_server.h"
 #include "net/discovery.h"
@@ -29,6 +31,7 @@
              private net::Discovery::Handler,
              private net::Notices::Handler,
              private net::ControlServer::Handler,
+             private net::AdminServer::Handler,
              private Changes::Owner {
  public:
   Node(net::Loop& loop, Beginning beginning, base::Log& log);
@@ -58,6 +61,15 @@
   void OnCallEnded(const net::CallResult& result);
   void OnControl(std::uint64_t peer, std::string_view line) override;
   void OnControlRefused(std::uint64_t uid, std::string_view reason) override;
+  net::AdminAnswer OnAdmin(std::string_view method, std::string_view path) override;
+
+  // Operations: emptying the node for a front, and a process that replaces this one.
+  void Quiesce();
+  void ResumeWork();
+  void LetQuietGo();
+  void TryClaim();
+  bool Ready() const;
+  std::string Figures() const;
 
   // What changes of the configuration need of the node.
   const Config& running() const override { return config_; }
@@ -105,20 +117,26 @@
   net::Discovery discovery_;
   net::Notices notices_;
   net::ControlServer control_;
+  net::AdminServer admin_;
   Changes changes_;
   net::Timer turn_timer_, later_timer_, leave_timer_, finish_timer_, report_timer_, tick_timer_;
+  net::Timer claim_timer_, quiet_timer_;
   uv_prepare_t prepare_{};
   uv_check_t check_{};
   uv_idle_t idle_{};  // runs while events wait: the loop must not sleep then
   std::deque<state::Event> events_;
   std::vector<state::Event> decisions_;  // of the present turn
   state::Effects later_;                 // told to the module when a failed journal write is tried again
-  bool turn_due_ = false, stopping_ = false, journal_failed_ = false;
+  bool turn_due_ = false, stopping_ = false, journal_failed_ = false, quiesced_ = false;
   Micros stop_listening_at_{0};
   Micros now_{0}, wake_at_{0};  // of the last turn; for the next, as the module asked
   std::array<std::uint64_t, static_cast<std::size_t>(state::kLastEnding) + 1> endings_{};
   std::uint64_t taken_ = 0, busy_ = 0, failed_ = 0, delivered_ = 0, returned_ = 0, given_up_ = 0;
   Micros started_at_{0};
+  struct ClassFigures {
+    std::uint64_t completed = 0, rejected = 0, failed = 0;
+  };
+  std::map<std::string, ClassFigures> by_class_;  // from the start of the process, as the figures tell
 };
 
 }  // namespace indigosaddle::node
--- a/src/state/reducer.cpp
+++ b/src/state/reducer.cpp
@@ -1,6 +1,7 @@
 #include "state/reducer.h"
 
 #include <algorithm>
+#include <set>
 #include <utility>
 
 namespace indigosaddle::state {
@@ -116,10 +117,17 @@
  public:
   Reducer(State& state, Effects& effects) : state_(state), effects_(effects), keep_(state) {}
 
+  // At the start, and again where a successor takes over what the process before it left: only what the
+  // records bring is resumed, for messages that this process took are its own.
   void operator()(const Recovered& e) {
+    state_.last_serial = std::max(state_.last_serial, e.numbered_past);
+    std::set<Serial> before;
+    for (const auto& [serial, owed] : state_.owed) before.insert(serial);
     for (const Record& record : e.records) std::visit(keep_, record);
     std::vector<Serial> serials;
-    for (const auto& [serial, owed] : state_.owed) serials.push_back(serial);
+    for (const auto& [serial, owed] : state_.owed) {
+      if (!before.contains(serial)) serials.push_back(serial);
+    }
     int resumed = 0;
     for (Serial serial : serials) {
       Owed& owed = state_.owed.at(serial);
@@ -138,13 +146,13 @@
   void operator()(const ClientMessage& e) {
     if (state_.by_id.contains(e.message.id)) {  // the same request once more: it stays taken on
       const Owed& owed = state_.owed.at(state_.by_id.at(e.message.id));
-      if (owed.unanswered) return Answer_(e.client, Answer::kBusy);
-      return Answer_(e.client, Answer::kTaken);
+      if (owed.unanswered) return Answer_(e.client, Answer::kBusy, Micros(0), e.message.message_class);
+      return Answer_(e.client, Answer::kTaken, Micros(0), e.message.message_class);
     }
     const std::size_t room = RecordBytes(e.message) + kLaterRecords;
     const bool full = state_.limits.most_open > 0 && state_.open() >= state_.limits.most_open;
     if (full || state_.room + room > state_.limits.journal_bytes * kOwedOfJournal / 100) {
-      return Answer_(e.client, Answer::kBusy);
+      return Answer_(e.client, Answer::kBusy, Micros(0), e.message.message_class);
     }
     Taken taken = e.message;
     taken.serial = ++state_.last_serial;
@@ -246,7 +254,8 @@
     for (Serial serial : state_.fresh) {
       Owed& owed = state_.owed.at(serial);
       AppendRecord(bytes, owed.taken);
-      state_.after_write.emplace_back(Reply{*owed.unanswered, Answer::kTaken, Micros(0)});
+      state_.after_write.emplace_back(
+          Reply{*owed.unanswered, Answer::kTaken, Micros(0), owed.taken.message_class});
     }
     bytes += std::exchange(state_.staged, {});
     const std::size_t reserve = state_.room + JournalHead().size() + 2 * kBlock;  // of a rewrite, rounded up
@@ -273,7 +282,8 @@
     // file holds is in doubt, so the next turn writes it anew.
     state_.rewrite_due = true;
     for (Serial serial : std::vector<Serial>(state_.fresh)) {
-      Answer_(*state_.owed.at(serial).unanswered, Answer::kBusy);
+      const Owed& owed = state_.owed.at(serial);
+      Answer_(*owed.unanswered, Answer::kBusy, Micros(0), owed.taken.message_class);
       effects_.emplace_back(TellWithdrawn{serial});
       // A send of this turn is over for the module as well, before its message is forgotten.
       if (state_.owed.at(serial).out)
@@ -313,8 +323,8 @@
     AppendRecord(state_.staged, record);
   }
 
-  void Answer_(const ClientRef& client, Answer answer, Micros not_before = Micros(0)) {
-    effects_.emplace_back(Reply{client, answer, not_before});
+  void Answer_(const ClientRef& client, Answer answer, Micros not_before, const std::string& message_class) {
+    effects_.emplace_back(Reply{client, answer, not_before, message_class});
   }
 
   // A final answer: to the client while it waits, by a notice after that.
@@ -322,7 +332,8 @@
     Owed* owed = keep_.Find(serial);
     if (owed == nullptr || owed->ended) return;
     if (owed->unanswered) {
-      Answer_(*owed->unanswered, end == End::kReturned ? Answer::kBusy : Answer::kFailed, not_before);
+      Answer_(*owed->unanswered, end == End::kReturned ? Answer::kBusy : Answer::kFailed, not_before,
+              owed->taken.message_class);
       return Forget(serial);
     }
     SayOver(*owed, end == End::kReturned ? Over::kReturned : Over::kFailed);
--- a/src/state/reducer.h
+++ b/src/state/reducer.h
@@ -33,6 +33,7 @@
 struct Recovered {  // first: what the journal folder held, and from where numbers go on
   std::vector<Record> records;
   Micros now{0};
+  Serial numbered_past = 0;  // a successor numbers its messages past those of the process that it replaces
 };
 struct ClientMessage {
   ClientRef client;
@@ -124,7 +125,8 @@
 struct Reply {
   ClientRef client;
   Answer answer = Answer::kFailed;
-  Micros not_before{0};  // with kBusy
+  Micros not_before{0};       // with kBusy
+  std::string message_class;  // of the message answered, for the figures
 };
 struct StartCall {  // answered by CallEnded
   Serial serial = 0;
--- /dev/null
+++ b/tests/node_ops_test.cpp
@@ -0,0 +1,134 @@
+// The built program as operators run it daily: the HTTP address, the figures, emptying for a front, and a
+// process that replaces another on the same address and state folder.
+#include <gtest/gtest.h>
+
+#include <csignal>
+#include <string>
+
+#include "stand_ins.h"
+
+namespace indigosaddle::testing {
+namespace {
+
+// A port that nobody listens on now.
+int FreePort() {
+  int port = 0;
+  Socket::Listen(port);
+  return port;
+}
+
+// One call on a connection of its own: the status, and the body after the head.
+std::pair<int, std::string> Call(int port, const std::string& method, const std::string& path) {
+  Socket socket = Socket::Connect(port);
+  if (!socket.open() ||
+      !socket.Write(method + " " + path + " HTTP/1.1\r\nHost: node\r\nContent-Length: 0\r\n\r\n"))
+    return {0, ""};
+  std::string bytes;
+  for (std::string more = socket.Read(); !more.empty(); more = socket.Read()) bytes += more;
+  const std::size_t head = bytes.find("\r\n\r\n");
+  if (bytes.rfind("HTTP/1.1 ", 0) != 0 || head == std::string::npos) return {0, bytes};
+  return {std::stoi(bytes.substr(9, 3)), bytes.substr(head + 4)};
+}
+
+std::string Ping(int port) { return ClientStandIn(port).Ask(ClientStandIn::Command({"PING"})); }
+
+class OpsTest : public NodeTest {
+ protected:
+  OpsTest() : control(FreePort()) { node.config["control"] = "127.0.0.1:" + std::to_string(control); }
+  int control;
+};
+
+TEST_F(OpsTest, HealthSaysReadyAndOtherPathsAreNamed) {
+  ASSERT_TRUE(node.Start());
+  EXPECT_EQ(Call(control, "GET", "/admin/health"), std::make_pair(200, std::string("ready\n")));
+  EXPECT_EQ(Call(control, "GET", "/admin/nothing").first, 404);
+  EXPECT_EQ(Call(control, "GET", "/admin/quiesce").first, 405);  // a command is a POST
+  EXPECT_EQ(Ping(node.port), "+PONG");
+}
+
+TEST_F(OpsTest, ACallerThatSaysNothingKeepsNoOtherOut) {
+  ASSERT_TRUE(node.Start());
+  std::vector<Socket> silent;
+  for (int i = 0; i < 40; ++i) silent.push_back(Socket::Connect(control));
+  EXPECT_EQ(Call(control, "GET", "/admin/health").first, 200);
+  Socket garbled = Socket::Connect(control);
+  ASSERT_TRUE(garbled.Write("\x01\x02 not http\r\n\r\n"));
+  EXPECT_EQ(garbled.Read().rfind("HTTP/1.1 400", 0), 0U);
+}
+
+TEST_F(OpsTest, TheFiguresCountByClassFromTheStart) {
+  ListSettler();
+  ASSERT_TRUE(node.Start());
+  Settle("one");
+  Settle("two");
+  // No endpoint is listed for 7: the message is refused at the door.
+  ASSERT_EQ(Enqueue("nowhere", "c=unsafe,d=50,dest=7").rfind("-BUSY", 0), 0U);
+  const std::string figures = Call(control, "GET", "/admin/stats").second;
+  EXPECT_NE(figures.find("app.downstream_requests.safe.completed:2|c\n"), std::string::npos) << figures;
+  EXPECT_NE(figures.find("app.downstream_requests.unsafe.rejected:1|c\n"), std::string::npos) << figures;
+  EXPECT_NE(figures.find("app.downstream_requests.keyed.completed:0|c\n"), std::string::npos) << figures;
+  EXPECT_NE(figures.find("app.upstream_requests:2|c\n"), std::string::npos) << figures;
+  EXPECT_NE(figures.find("app.pending:0|g\n"), std::string::npos) << figures;
+  EXPECT_NE(figures.find("app.members:1|g\n"), std::string::npos) << figures;
+  EXPECT_NE(figures.find("app.config_reloads:0|c\n"), std::string::npos) << figures;
+}
+
+TEST_F(OpsTest, ReloadsAndRefusedFilesAreCounted) {
+  ASSERT_TRUE(node.Start());
+  node.Signal(SIGHUP);
+  ASSERT_TRUE(Eventually([&] {
+    return Call(control, "GET", "/admin/stats").second.find("app.config_reloads:1|c") != std::string::npos;
+  }));
+  node.WriteConfig("{\"name\": ");  // cut off
+  node.Signal(SIGHUP);
+  EXPECT_TRUE(Eventually([&] {
+    return Call(control, "GET", "/admin/stats").second.find("app.config_reload_errors:1|c") !=
+           std::string::npos;
+  }));
+}
+
+TEST_F(OpsTest, QuiescedPingSaysNoClientsAreLetGoAndResumeBringsItBack) {
+  ListSettler();
+  ASSERT_TRUE(node.Start());
+  ClientStandIn idle(node.port);
+  ASSERT_EQ(idle.Ask(ClientStandIn::Command({"PING"})), "+PONG");
+  EXPECT_EQ(Call(control, "POST", "/admin/quiesce").first, 200);
+  EXPECT_NE(Ping(node.port), "+PONG");
+  EXPECT_EQ(Call(control, "GET", "/admin/health").first, 503);
+  // A client that stands between requests is let go; it sees the connection end.
+  const auto since = Clock::now();
+  EXPECT_TRUE(idle.socket().Read(std::chrono::milliseconds(3000)).empty());
+  EXPECT_LT(Clock::now() - since, std::chrono::seconds(2));
+  // What comes meanwhile is still taken and delivered.
+  Settle("meanwhile");
+  EXPECT_EQ(Call(control, "POST", "/admin/resume").first, 200);
+  EXPECT_EQ(Ping(node.port), "+PONG");
+  EXPECT_EQ(Call(control, "GET", "/admin/health").first, 200);
+}
+
+TEST_F(OpsTest, ASuccessorServesBesideAndResumesWhatTheOldOneLeft) {
+  ASSERT_TRUE(node.Start());
+  // Nothing is listed for 7 yet: the message stays open.
+  ASSERT_EQ(Enqueue("left", "c=safe,d=60000,dest=7"), "+OK");
+  NodeProcess successor(platform.address());
+  successor.config = node.config;
+  successor.config["listen"] = "127.0.0.1:" + std::to_string(node.port);
+  successor.config["control"] = "127.0.0.1:" + std::to_string(FreePort());
+  successor.shared_state = node.folder + "/state";
+  ASSERT_TRUE(successor.Start());
+  EXPECT_NE(successor.log().find("journal.shared"), std::string::npos);
+  EXPECT_EQ(Ping(node.port), "+PONG");
+  node.Signal(SIGTERM);
+  EXPECT_EQ(node.Wait(), 0);
+  ASSERT_TRUE(Eventually([&] { return successor.log().find("journal.taken_over") != std::string::npos; }));
+  EndpointStandIn seven;
+  platform.Set(PlatformStandIn::Member("seven", seven.address(), 7));
+  EXPECT_TRUE(Eventually([&] { return seven.CallsFor("left") == 1; }));
+  // The successor's own messages go on beside it.
+  ASSERT_EQ(ClientStandIn(successor.port).Ask(ClientStandIn::Enqueue("new", "c=safe,d=60000,dest=7")), "+OK");
+  EXPECT_TRUE(Eventually([&] { return seven.CallsFor("new") == 1; }));
+  EXPECT_EQ(seven.CallsFor("left"), 1);
+}
+
+}  // namespace
+}  // namespace indigosaddle::testing
--- a/tests/node_parts_test.cpp
+++ b/tests/node_parts_test.cpp
@@ -71,6 +71,20 @@
   EXPECT_NE(config.known, "");
 }
 
+// Open messages keep the rules that their class had: a class whose effect changes is a new one by number.
+TEST(Config, AClassWhoseEffectChangesIsNewWhileOpenMessagesKeepTheOld) {
+  const Config running = ReadConfig(kConfig, kEnvironment);
+  const Config next =
+      ReadConfig(Edited(R"("effect":"non_idempotent")", R"("effect":"read_like")"), kEnvironment);
+  const Config changed = Changed(running, next);
+  ASSERT_EQ(changed.settings.classes.size(), 3u);
+  EXPECT_EQ(changed.classes.at("b"), 2);
+  EXPECT_EQ(changed.settings.classes[1].effect, Effect::kUnsafe);  // for what was taken before
+  EXPECT_EQ(changed.settings.classes[2].effect, Effect::kSafe);
+  EXPECT_EQ(changed.classes.at("zone notice"), 0);  // unchanged, it keeps its number
+  EXPECT_EQ(Changed(running, running).settings.classes.size(), 2u);
+}
+
 TEST(Config, TheEnvironmentGoesBeforeTheFile) {
   auto environment = kEnvironment;
   environment["EDGE_NAME"] = "n9";
--- a/tests/stand_ins.h
+++ b/tests/stand_ins.h
@@ -391,7 +391,8 @@
     WriteConfig(config.dump());
     if (!toml.empty()) WriteToml(toml);
     const std::string log_path = folder + "/log" + std::to_string(++lives_);
-    const std::string state = folder + "/state", path = folder + "/config.json";
+    const std::string state = shared_state.empty() ? folder + "/state" : shared_state;
+    const std::string path = folder + "/config.json";
     process_ = fork();
     if (process_ == 0) {
       const int log_file = open(log_path.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0600);
@@ -460,6 +461,7 @@
   std::string toml, kill_at;  // where toml is given it is the configuration, and config is not
   int log_descriptor = -1;    // where standard error goes instead, if not negative
   std::string folder;
+  std::string shared_state;  // another process's state folder, where not empty
   int port = 0;
 
  private:
