--- a/src/net/admin_server.cpp
+++ b/src/net/admin_server.cpp
@@ -132,10 +132,13 @@
 AdminServer::~AdminServer() {
   callers_.clear();
   buried_.clear();
-  if (listener_ != nullptr) {
-    uv_close(reinterpret_cast<uv_handle_t*>(listener_),
-             [](uv_handle_t* handle) { delete reinterpret_cast<uv_tcp_t*>(handle); });
-  }
+  StopListening();
+}
+
+void AdminServer::StopListening() {
+  if (listener_ == nullptr) return;
+  uv_close(reinterpret_cast<uv_handle_t*>(std::exchange(listener_, nullptr)),
+           [](uv_handle_t* handle) { delete reinterpret_cast<uv_tcp_t*>(handle); });
 }
 
 int AdminServer::Listen(const std::string& address) {
@@ -152,30 +155,14 @@
         });
   }
   if (error != 0) {
-    uv_close(reinterpret_cast<uv_handle_t*>(listener_),
-             [](uv_handle_t* handle) { delete reinterpret_cast<uv_tcp_t*>(handle); });
-    listener_ = nullptr;
+    StopListening();
     return error;
   }
   sweep_.Start(kSweepEvery);
   return 0;
 }
 
-std::string AdminServer::address() const {
-  sockaddr_storage at{};
-  int size = sizeof at;
-  char text[INET6_ADDRSTRLEN] = {};
-  if (listener_ == nullptr || uv_tcp_getsockname(listener_, reinterpret_cast<sockaddr*>(&at), &size) != 0)
-    return {};
-  if (at.ss_family == AF_INET6) {
-    const auto& v6 = reinterpret_cast<const sockaddr_in6&>(at);
-    uv_ip6_name(&v6, text, sizeof text);
-    return fmt::format("[{}]:{}", text, ntohs(v6.sin6_port));
-  }
-  const auto& v4 = reinterpret_cast<const sockaddr_in&>(at);
-  uv_ip4_name(&v4, text, sizeof text);
-  return fmt::format("{}:{}", text, ntohs(v4.sin_port));
-}
+std::string AdminServer::address() const { return BoundAddress(listener_); }
 
 void AdminServer::Accept() {
   // A caller that holds a connection without a whole request must not keep the platform's checks out.
--- a/src/net/admin_server.h
+++ b/src/net/admin_server.h
@@ -42,12 +42,12 @@
 
   int Listen(const std::string& address);  // a negative code where that fails
   std::string address() const;             // as bound; empty where it does not listen
-  std::size_t callers() const { return callers_.size(); }
 
  private:
   class Caller;
 
   void Accept();
+  void StopListening();
   void Drop(std::uint64_t caller);
   void Sweep();
 
--- a/src/net/loop.cpp
+++ b/src/net/loop.cpp
@@ -189,6 +189,22 @@
          (errno == EAGAIN || errno == EWOULDBLOCK || errno == EINTR);
 }
 
+std::string BoundAddress(const uv_tcp_t* listener) {
+  sockaddr_storage at{};
+  int size = sizeof at;
+  char text[INET6_ADDRSTRLEN] = {};
+  if (listener == nullptr || uv_tcp_getsockname(listener, reinterpret_cast<sockaddr*>(&at), &size) != 0)
+    return {};
+  if (at.ss_family == AF_INET6) {
+    const auto& v6 = reinterpret_cast<const sockaddr_in6&>(at);
+    uv_ip6_name(&v6, text, sizeof text);
+    return "[" + std::string(text) + "]:" + std::to_string(ntohs(v6.sin6_port));
+  }
+  const auto& v4 = reinterpret_cast<const sockaddr_in&>(at);
+  uv_ip4_name(&v4, text, sizeof text);
+  return std::string(text) + ":" + std::to_string(ntohs(v4.sin_port));
+}
+
 bool ParseAddress(const std::string& text, sockaddr_storage& address) {
   const std::size_t colon = text.rfind(':');
   if (colon == std::string::npos) return false;
--- a/src/net/loop.h
+++ b/src/net/loop.h
@@ -98,4 +98,7 @@
 // False where the text is not "ip:port".
 bool ParseAddress(const std::string& text, sockaddr_storage& address);
 
+// Where a listener is bound, as "ip:port" or "[ip]:port"; empty where it is none or the system does not say.
+std::string BoundAddress(const uv_tcp_t* listener);
+
 }  // namespace indigosaddle::net
--- a/src/net/resp_server.cpp
+++ b/src/net/resp_server.cpp
@@ -307,21 +307,7 @@
   return error;
 }
 
-std::string RespServer::address() const {
-  sockaddr_storage at{};
-  int size = sizeof at;
-  char text[INET6_ADDRSTRLEN] = {};
-  if (listener_ == nullptr || uv_tcp_getsockname(listener_, reinterpret_cast<sockaddr*>(&at), &size) != 0)
-    return {};
-  if (at.ss_family == AF_INET6) {
-    const auto& v6 = reinterpret_cast<const sockaddr_in6&>(at);
-    uv_ip6_name(&v6, text, sizeof text);
-    return fmt::format("[{}]:{}", text, ntohs(v6.sin6_port));
-  }
-  const auto& v4 = reinterpret_cast<const sockaddr_in&>(at);
-  uv_ip4_name(&v4, text, sizeof text);
-  return fmt::format("{}:{}", text, ntohs(v4.sin_port));
-}
+std::string RespServer::address() const { return BoundAddress(listener_); }
 
 void RespServer::StopListening() {
   if (listener_ == nullptr) return;
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -296,8 +296,6 @@
 
 // ---- Operations -----------------------------------------------------------------------------------------
 
-bool Node::Ready() const { return !stopping_ && !quiesced_; }
-
 net::AdminAnswer Node::OnAdmin(std::string_view method, std::string_view path) {
   const bool get = method == "GET" || method == "HEAD";
   const auto only = [&](bool allowed, auto&& answer) -> net::AdminAnswer {
@@ -351,17 +349,11 @@
 
 // The figures in the statsd form, counts from the start of the process.
 std::string Node::Figures() const {
+  // Every class named now, and those that a change has dropped, which still count.
+  std::map<std::string, ClassFigures> classes = by_class_;
+  for (const auto& [name, number] : config_.classes) classes.try_emplace(name);
   std::string out;
-  for (const auto& [name, number] : config_.classes) {
-    const auto it = by_class_.find(name);
-    const ClassFigures figures = it == by_class_.end() ? ClassFigures{} : it->second;
-    out += fmt::format(
-        "app.downstream_requests.{0}.completed:{1}|c\napp.downstream_requests.{0}.rejected:{2}|c\n"
-        "app.downstream_requests.{0}.failed:{3}|c\n",
-        name, figures.completed, figures.rejected, figures.failed);
-  }
-  for (const auto& [name, figures] : by_class_) {  // classes that a change has dropped still count
-    if (config_.classes.contains(name)) continue;
+  for (const auto& [name, figures] : classes) {
     out += fmt::format(
         "app.downstream_requests.{0}.completed:{1}|c\napp.downstream_requests.{0}.rejected:{2}|c\n"
         "app.downstream_requests.{0}.failed:{3}|c\n",
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -70,7 +70,6 @@
   void TryClaim();
   void MoveDiscovery();
   void Arrived();
-  bool Ready() const;
   std::string Figures() const;
 
   // What changes of the configuration need of the node.
