Release build: an address is formatted by fmt; gcc 12 took the old sum for an overlap

Reproduced with a Release build of the text as it stood. It is gcc 12's known false report for operator+(const char*, std::string&&), not an overlap. Change: fmt::format, which the neighbouring files use already. Measured: the Release build with warnings as errors is green again; no behaviour changed.

--- a/src/net/loop.cpp
+++ b/src/net/loop.cpp
@@ -1,5 +1,6 @@
 #include "net/loop.h"
 
+#include <fmt/format.h>
 #include <sys/ioctl.h>
 #include <sys/socket.h>
 
@@ -198,11 +199,11 @@
   if (at.ss_family == AF_INET6) {
     const auto& v6 = reinterpret_cast<const sockaddr_in6&>(at);
     uv_ip6_name(&v6, text, sizeof text);
-    return "[" + std::string(text) + "]:" + std::to_string(ntohs(v6.sin6_port));
+    return fmt::format("[{}]:{}", text, ntohs(v6.sin6_port));
   }
   const auto& v4 = reinterpret_cast<const sockaddr_in&>(at);
   uv_ip4_name(&v4, text, sizeof text);
-  return std::string(text) + ":" + std::to_string(ntohs(v4.sin_port));
+  return fmt::format("{}:{}", text, ntohs(v4.sin_port));
 }
 
 bool ParseAddress(const std::string& text, sockaddr_storage& address) {
