--- a/tests/node_changes_test.cpp
+++ b/tests/node_changes_test.cpp
@@ -15,11 +15,16 @@
 // Asks the control socket as any program would.
 class ControlStandIn {
  public:
-  explicit ControlStandIn(const NodeProcess& node) {
+  static sockaddr_un AddressOf(const NodeProcess& node) {
     sockaddr_un at{};
     at.sun_family = AF_UNIX;
     const std::string path = node.folder + "/state/control.sock";
     std::copy(path.begin(), path.end(), at.sun_path);
+    return at;
+  }
+
+  explicit ControlStandIn(const NodeProcess& node) {
+    const sockaddr_un at = AddressOf(node);
     const int descriptor = ::socket(AF_UNIX, SOCK_STREAM | SOCK_CLOEXEC, 0);
     socket_ = Socket(descriptor);
     if (connect(descriptor, reinterpret_cast<const sockaddr*>(&at), sizeof at) != 0) socket_.Close();
@@ -274,17 +279,23 @@
   std::filesystem::permissions(node.folder, std::filesystem::perms::all);
   std::filesystem::permissions(node.folder + "/state", std::filesystem::perms::all);
   std::filesystem::permissions(node.folder + "/state/control.sock", std::filesystem::perms::all);
+  // The stand-ins' threads go on here, so the child may take no lock that one of them could hold, the
+  // allocator's among them: system calls alone from the fork on.
+  const sockaddr_un at = ControlStandIn::AddressOf(node);
   const pid_t child = fork();
   if (child == 0) {
     if (setgid(65534) != 0 || setuid(65534) != 0) _exit(2);
-    ControlStandIn other(node);
-    if (!other.socket().open()) _exit(3);
-    other.socket().Write("{\"op\":\"status\"}\n");
-    _exit(other.socket().Read().empty() ? 0 : 1);
+    const int other = ::socket(AF_UNIX, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    if (connect(other, reinterpret_cast<const sockaddr*>(&at), sizeof at) != 0) _exit(3);
+    constexpr std::string_view kAsk = "{\"op\":\"status\"}\n";
+    send(other, kAsk.data(), kAsk.size(), MSG_NOSIGNAL);  // may find it closed already
+    pollfd wait{other, POLLIN, 0};
+    char byte = 0;
+    _exit(poll(&wait, 1, static_cast<int>(kPatience.count())) == 1 && recv(other, &byte, 1, 0) <= 0 ? 0 : 1);
   }
   int status = 0;
   ASSERT_EQ(waitpid(child, &status, 0), child);
-  EXPECT_EQ(WEXITSTATUS(status), 0);
+  EXPECT_TRUE(WIFEXITED(status) && WEXITSTATUS(status) == 0) << "wait status " << status;
   EXPECT_TRUE(Logged("control.refused uid=65534 reason=\"another user\""));
   EXPECT_TRUE(ControlStandIn(node).Ask({{"op", "status"}}).at("ok").get<bool>());
 }
--- a/tests/stand_ins.h
+++ b/tests/stand_ins.h
@@ -392,12 +392,34 @@
     if (!toml.empty()) WriteToml(toml);
     const std::string log_path = folder + "/log" + std::to_string(++lives_);
     const std::string state = shared_state.empty() ? folder + "/state" : shared_state;
-    const std::string path = folder + "/config.json";
+    // All that allocates comes before the fork: the stand-ins' threads go on, and the child may take no lock
+    // that one of them could hold.
+    std::vector<std::string> words{INDIGOSADDLE_PROGRAM}, variables{"EDGE_STATE=" + state};
+    if (toml.empty()) {
+      variables.push_back("EDGE_CONFIG=" + folder + "/config.json");
+    } else {  // the operator's file alone
+      for (const char* word : {"serve", "--config"}) words.emplace_back(word);
+      words.push_back(folder + "/node.toml");
+      words.emplace_back("--kill-at");
+      words.push_back(kill_at.empty() ? "none" : kill_at);
+    }
+    for (char** variable = environ; *variable != nullptr; ++variable) {
+      const std::string_view told = *variable;
+      if (!told.starts_with("EDGE_STATE=") && (!toml.empty() || !told.starts_with("EDGE_CONFIG=")))
+        variables.emplace_back(told);
+    }
+    const auto pointers = [](std::vector<std::string>& from) {
+      std::vector<char*> to;
+      for (std::string& text : from) to.push_back(text.data());
+      to.push_back(nullptr);
+      return to;
+    };
+    const std::vector<char*> arguments = pointers(words), environment = pointers(variables);
     process_ = fork();
     if (process_ == 0) {
       const int log_file = open(log_path.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0600);
       dup2(log_file, 1);
-      dup2(log_file, 2);
+      dup2(!toml.empty() && log_descriptor >= 0 ? log_descriptor : log_file, 2);
       if (descriptors > 0) {
         const rlimit limit{descriptors, descriptors};
         setrlimit(RLIMIT_NOFILE, &limit);
@@ -409,16 +431,7 @@
         sigprocmask(SIG_BLOCK, &set, nullptr);
         raise(signal_at_once);
       }
-      setenv("EDGE_STATE", state.c_str(), 1);
-      if (!toml.empty()) {  // the operator's file alone
-        const std::string file = folder + "/node.toml", at = kill_at.empty() ? "none" : kill_at;
-        if (log_descriptor >= 0) dup2(log_descriptor, 2);
-        execl(INDIGOSADDLE_PROGRAM, INDIGOSADDLE_PROGRAM, "serve", "--config", file.c_str(), "--kill-at",
-              at.c_str(), static_cast<char*>(nullptr));
-        _exit(127);
-      }
-      setenv("EDGE_CONFIG", path.c_str(), 1);
-      execl(INDIGOSADDLE_PROGRAM, INDIGOSADDLE_PROGRAM, static_cast<char*>(nullptr));
+      execve(INDIGOSADDLE_PROGRAM, arguments.data(), environment.data());
       _exit(127);
     }
     port = 0;
