A replaced process hands over as soon as its calls are out; its successor begins none before

Need: to rules and limits two processes are one node. Ruled out: the door (0 requests ended there) and the figures (0 late, none untrue). At fault: Node::Stop and LeaveClients (node.cpp), one path for a restart and for a replacement. The successor begins no call until it owns the folder, 1 s at most (OnStop now, then lifted). Room is halved while two share. A third process waits 5 s, then ends with 1. Message::place orders a key's messages by when the node took them. Tests: SuccessorTest.*, JournalFolder.AnOwnersRewrite..., .ASuccessorBecomes..., Resumed.EarlierMessages...

--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -216,8 +216,7 @@
     auto [it, is_new] = held_.try_emplace(message.id);
     if (!is_new) return;
     Held& held = it->second;
-    held.message = message;
-    held.c = ClassOf(message);
+    held.message = message, held.c = ClassOf(message);
     held.home = &destinations_[message.destination];
     ++held.home->held;
     for (Route& route : held.home->routes)  // apart: to each an even part of it
@@ -228,7 +227,9 @@
     ++open_;
     Place(held);
     if (!InTurn(held)) return;
-    keys_[message.key].order.push_back(message.id);
+    auto& order = keys_[message.key].order;  // what was resumed goes before all but an attempt that is out
+    const auto older = [&](auto at, auto id) { return !held_.at(id).out && at < held_.at(id).message.place; };
+    order.insert(std::upper_bound(order.begin(), order.end(), message.place, older), message.id);
     if (message.past.may_have_run) keys_[message.key].rest_until = now_ + set_.turn_gap;  // may run on
   }
 
@@ -241,8 +242,7 @@
   void OnStop(Micros at) override { stop_at_ = at; }
 
   void OnSettings(Settings settings) override {
-    set_ = std::move(settings);
-    set_.senders = std::max(1, set_.senders);
+    set_ = std::move(settings), set_.senders = std::max(1, set_.senders);
     for (auto& [id, held] : held_) held.c = ClassOf(held.message);
     LookAtAll();
   }
--- a/src/brain.h
+++ b/src/brain.h
@@ -95,6 +95,7 @@
   std::string key;  // order key; empty: none
   Micros give_up_at{0};
   std::uint64_t destination = 0;
+  std::uint64_t place = 0;  // in the order taken, of its key; equal: as told
   Past past{};
 };
 
--- a/src/net/call_pool.h
+++ b/src/net/call_pool.h
@@ -43,6 +43,7 @@
 
   void Start(const CallRequest& request);
   void CloseIdle(const std::string& host);
+  std::size_t calls() const { return busy_.size(); }  // not answered yet
   std::size_t connections() const { return busy_.size() + rest_.size() + idle_count_; }
   std::size_t opened() const { return opened_; }
   std::uint64_t written() const { return written_; }  // calls whose last byte was handed over
--- a/src/net/loop.cpp
+++ b/src/net/loop.cpp
@@ -3,6 +3,7 @@
 #include <fmt/format.h>
 #include <sys/ioctl.h>
 #include <sys/socket.h>
+#include <unistd.h>
 
 #include <algorithm>
 #include <cerrno>
@@ -106,6 +107,12 @@
   return error;
 }
 
+int Stream::Open(uv_os_sock_t descriptor) {
+  const int error = uv_tcp_open(&handle_->tcp, descriptor);
+  error == 0 ? uv_tcp_nodelay(&handle_->tcp, 1) : close(descriptor);
+  return error;
+}
+
 int Stream::StartReading() {
   return uv_read_start(
       reinterpret_cast<uv_stream_t*>(&handle_->tcp),
--- a/src/net/loop.h
+++ b/src/net/loop.h
@@ -78,6 +78,7 @@
 
   int Connect(const std::string& address);  // "ip:port"; a negative code where it can't begin
   int Accept(uv_stream_t* server);
+  int Open(uv_os_sock_t descriptor);  // a connection that was accepted already; owned from here on
   int StartReading();
   void StopReading();
   int Write(std::string bytes);  // a negative code where the connection is known to be broken
--- a/src/net/resp_server.cpp
+++ b/src/net/resp_server.cpp
@@ -81,6 +81,11 @@
     const int error = stream_.Accept(listener);
     return error != 0 ? error : stream_.StartReading();
   }
+  int Begin(uv_os_sock_t descriptor) {
+    const int error = stream_.Open(descriptor);
+    return error != 0 ? error : stream_.StartReading();
+  }
+  std::uint64_t id() const { return id_; }
 
   void Bury() {  // what still comes before it is destroyed counts for nothing
     buried_ = true;
@@ -309,9 +314,26 @@
 
 std::string RespServer::address() const { return BoundAddress(listener_); }
 
+// Connections that the system has made and the loop has not seen yet would be reset with the listener, with a
+// client's request under way on them.
 void RespServer::StopListening() {
   if (listener_ == nullptr) return;
-  uv_close(reinterpret_cast<uv_handle_t*>(std::exchange(listener_, nullptr)),
+  auto* listener = std::exchange(listener_, nullptr);
+  if (std::exchange(waiting_, false)) {
+    auto connection = std::make_unique<Connection>(*this, ++last_connection_);
+    const int error = connection->Begin(reinterpret_cast<uv_stream_t*>(listener));
+    Take(std::move(connection), error);
+  }
+  uv_os_fd_t descriptor = -1;
+  if (uv_fileno(reinterpret_cast<uv_handle_t*>(listener), &descriptor) == 0) {
+    for (int client = -1;
+         (client = accept4(descriptor, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC)) >= 0;) {
+      auto connection = std::make_unique<Connection>(*this, ++last_connection_);
+      const int error = connection->Begin(client);
+      Take(std::move(connection), error);
+    }
+  }
+  uv_close(reinterpret_cast<uv_handle_t*>(listener),
            [](uv_handle_t* handle) { delete reinterpret_cast<uv_tcp_t*>(handle); });
 }
 
@@ -320,13 +342,19 @@
   if (!waiting_ || listener_ == nullptr) return;
   if (connections_.size() >= limits_.connections && !MakeRoom()) return admit_.Start(kAdmitAgain);
   waiting_ = false;
-  const std::uint64_t id = ++last_connection_;
-  auto connection = std::make_unique<Connection>(*this, id);
-  if (connection->Begin(reinterpret_cast<uv_stream_t*>(listener_)) != 0) {
+  auto connection = std::make_unique<Connection>(*this, ++last_connection_);
+  const int error = connection->Begin(reinterpret_cast<uv_stream_t*>(listener_));
+  Take(std::move(connection), error);
+}
+
+void RespServer::Take(std::unique_ptr<Connection> connection, int error) {
+  if (error == 0) {
+    const std::uint64_t id = connection->id();
+    connections_.emplace(id, std::move(connection));
+  } else {
     buried_.push_back(std::move(connection));
-    return bury_.Start(Micros(0));
+    bury_.Start(Micros(0));
   }
-  connections_.emplace(id, std::move(connection));
 }
 
 // Closes who gives way most readily, the longest quiet of these, at once: its descriptor is needed before
--- a/src/net/resp_server.h
+++ b/src/net/resp_server.h
@@ -49,9 +49,9 @@
   RespServer(const RespServer&) = delete;
   RespServer& operator=(const RespServer&) = delete;
 
-  int Listen(const std::string& address);  // a negative code where that fails
-  std::string address() const;             // as bound
-  void StopListening();
+  int Listen(const std::string& address);              // a negative code where that fails
+  std::string address() const;                         // as bound
+  void StopListening();                                // who has connected by then is served still
   void SetLimits(Limits limits) { limits_ = limits; }  // connections that stand are not cut
   void Reply(std::uint64_t connection, std::uint64_t command, std::string line);
   bool Gone(std::uint64_t connection) const;  // closed by the client, read or not
@@ -67,6 +67,7 @@
   class Connection;
 
   void Admit();
+  void Take(std::unique_ptr<Connection> connection, int error);
   bool MakeRoom();
   void Sweep();
   void Drop(std::uint64_t connection, ClientEnd end);
--- a/src/node/journal_file.cpp
+++ b/src/node/journal_file.cpp
@@ -35,30 +35,45 @@
 
 JournalFile::~JournalFile() {
   Close();
-  if (lock_ >= 0) close(lock_);
+  for (const int lock : {lock_, next_lock_}) {
+    if (lock >= 0) close(lock);
+  }
 }
 
-bool JournalFile::Claim() {
-  if (lock_ >= 0) return true;
-  const int file = open((folder_ + "/journal.lock").c_str(), O_RDWR | O_CREAT | O_CLOEXEC, 0600);
-  if (file < 0) return false;
-  if (flock(file, LOCK_EX | LOCK_NB) != 0) {
-    close(file);
-    if (!std::exchange(successor_, true)) {
-      Close();
-      path_ = next_path_;
-      new_path_ = next_path_ + ".new";
-    }
-    return false;
-  }
-  lock_ = file;
-  successor_ = false;
-  // The next write is a rewrite of all that is owed, into the owner's file; until then this process's own
-  // file stays, for it holds what is owed.
+int JournalFile::Lock(const char* name) const {
+  const int file = open((folder_ + "/" + name).c_str(), O_RDWR | O_CREAT | O_CLOEXEC, 0600);
+  if (file >= 0 && flock(file, LOCK_EX | LOCK_NB) == 0) return file;
+  if (file >= 0) close(file);
+  return -1;
+}
+
+void JournalFile::WriteTo(const std::string& path) {
   Close();
-  path_ = owners_path_;
-  new_path_ = owners_path_ + ".new";
-  return true;
+  path_ = path;
+  new_path_ = path + ".new";
+}
+
+JournalFile::Role JournalFile::Claim() {
+  if (lock_ >= 0) return Role::kOwner;
+  lock_ = Lock("journal.lock");
+  const bool was_successor = next_lock_ >= 0;
+  if (!was_successor) next_lock_ = Lock("journal.next.lock");
+  if (lock_ >= 0) {
+    // The next write is a rewrite of all that is owed, into the owner's file; until then this process's own
+    // file stays, for it holds what is owed.
+    if (was_successor) WriteTo(owners_path_);
+    return Role::kOwner;
+  }
+  if (next_lock_ < 0) return Role::kNone;
+  if (!was_successor) WriteTo(next_path_);
+  return Role::kSuccessor;
+}
+
+bool JournalFile::HasSuccessor() const {
+  if (lock_ < 0 || next_lock_ >= 0) return false;
+  const int file = Lock("journal.next.lock");
+  if (file >= 0) close(file);
+  return file < 0;
 }
 
 void JournalFile::Close() {
@@ -72,7 +87,8 @@
     trouble = "it is no folder";
     return false;
   }
-  if (!successor_ && unlink((owners_path_ + ".new").c_str()) == 0) {
+  const bool successor = lock_ < 0 && next_lock_ >= 0;
+  if (!successor && unlink((owners_path_ + ".new").c_str()) == 0) {
     trouble = "a rewrite was cut off; the journal before it holds";
   }
   return ReadFile(owners_path_, most, bytes, trouble);
@@ -127,8 +143,10 @@
   Close();
   descriptor_ = file;
   size_ = bytes.size();
-  // The owner's file now holds all: what a successor wrote before it took over is in it.
-  if (path_ == owners_path_) unlink(next_path_.c_str());
+  if (absorbs_next()) {  // the owner's file now holds all; from here on `journal.next` is a successor's
+    unlink(next_path_.c_str());
+    close(std::exchange(next_lock_, -1));
+  }
   return true;
 }
 
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -4,6 +4,7 @@
 #include <unistd.h>
 
 #include <algorithm>
+#include <thread>
 #include <utility>
 
 #include "base/log_events.h"
@@ -24,7 +25,16 @@
 constexpr Micros kJournalAgain = milliseconds(50);
 constexpr Micros kReportEvery = seconds(10);
 // A successor asks this often whether the process before it has ended; what that one left waits no longer.
-constexpr Micros kClaimEvery = milliseconds(50);
+constexpr Micros kClaimEvery = milliseconds(20);
+// To rules and limits two processes are one node, so a successor takes messages on but begins no call until
+// the process before it has ended: that one is told to stop as soon as the successor says that it is ready.
+// One that is left running beside it must not hold up its messages for long.
+constexpr Micros kHoldFor = seconds(1);
+// A process that is replaced hands over early: once no call is out. Clients that have connected just now and
+// not asked yet have so long.
+constexpr Micros kLeaveUnasked = milliseconds(200);
+// A third process waits this long for one of two that share the folder to end.
+constexpr Micros kWaitForPlace = seconds(5);
 // A quiesced node lets a client go once it stands between requests. The front sends new connections for a
 // short while after it learns; those are let go the same way.
 constexpr Micros kLetGoEvery = milliseconds(50);
@@ -52,13 +62,16 @@
           static_cast<std::size_t>(static_cast<double>(config.memory_bytes) * config.client_memory_share)};
 }
 
-// What the journal may fill of the folder: the generations, where there are any, have room of their own.
-std::size_t JournalRoom(const Config& config) {
-  return config.disk_bytes - (config.has_operators_file ? config::StoreRoom(config.disk_bytes) : 0);
+// What the journal may fill of the folder: the generations, where there are any, have room of their own, and
+// two processes that share the folder have half each.
+std::size_t JournalRoom(const Config& config, bool shared) {
+  const std::size_t all =
+      config.disk_bytes - (config.has_operators_file ? config::StoreRoom(config.disk_bytes) : 0);
+  return shared ? all / 2 : all;
 }
 
 state::Limits LimitsOf(const Config& config) {
-  return {static_cast<std::size_t>(std::max(0, config.settings.max_open)), JournalRoom(config),
+  return {static_cast<std::size_t>(std::max(0, config.settings.max_open)), JournalRoom(config, false),
           config.classes, config.tenants};
 }
 
@@ -95,7 +108,8 @@
       tick_timer_(loop, [this] { Tick(); }),
       claim_timer_(loop, [this] { TryClaim(); }),
       quiet_timer_(loop, [this] { LetQuietGo(); }),
-      arrived_timer_(loop, [this] { Arrived(); }) {
+      arrived_timer_(loop, [this] { Arrived(); }),
+      hold_timer_(loop, [this] { BeginCalls(); }) {
   discovery_at_ = config_.discovery;
   uv_prepare_init(loop.raw(), &prepare_);
   uv_check_init(loop.raw(), &check_);
@@ -125,7 +139,15 @@
 
 bool Node::Start() {
   started_at_ = loop_.Now();
-  const bool owner = journal_.Claim();
+  JournalFile::Role role = journal_.Claim();
+  while (role == JournalFile::Role::kNone && loop_.Now() - started_at_ < kWaitForPlace) {
+    std::this_thread::sleep_for(kClaimEvery);
+    role = journal_.Claim();
+  }
+  if (role == JournalFile::Role::kNone) {
+    log_.Write(base::kFolderUnusable, config_.state_folder, "two processes serve from it already");
+    return false;
+  }
   std::string bytes, trouble;
   if (!journal_.Read(config_.disk_bytes, bytes, trouble)) {
     log_.Write(base::kFolderUnusable, config_.state_folder, trouble);
@@ -135,14 +157,14 @@
   state::Serial highest = 0;
   state::ReadJournal old = Parsed(bytes, highest);
   state::Recovered recovered;
-  if (owner) {
+  if (role == JournalFile::Role::kOwner) {
     if (!trouble.empty()) log_.Write(base::kJournalDamaged, trouble, bytes.size(), bytes.size());
     if (!old.trouble.empty()) log_.Write(base::kJournalDamaged, old.trouble, old.read, bytes.size());
     recovered.records = std::move(old.records);
     // A successor that died before it took over left its own file.
     std::string next;
     trouble.clear();
-    if (journal_.ReadNext(config_.disk_bytes, next, trouble) && !next.empty()) {
+    if (journal_.absorbs_next() && journal_.ReadNext(config_.disk_bytes, next, trouble) && !next.empty()) {
       log_.Write(base::kJournalFound, next.size());
       state::ReadJournal more = Parsed(next, highest);
       if (!more.trouble.empty()) log_.Write(base::kJournalDamaged, more.trouble, more.read, next.size());
@@ -150,10 +172,14 @@
     }
   } else {
     // Another process serves from this folder: what it owes is its own until it ends.
+    successor_ = true;
     recovered.numbered_past = highest + kSuccessorGap;
     log_.Write(base::kJournalShared, config_.state_folder);
-    claim_timer_.Start(kClaimEvery);
+    ShareRoom(true);
+    Push(state::StopAsked{loop_.Now()});
+    hold_timer_.Start(kHoldFor);
   }
+  claim_timer_.Start(kClaimEvery);
   if (!config_.known.empty()) {
     if (auto news = net::ParseMembers(config_.known)) {
       news->whole = true;
@@ -194,9 +220,14 @@
   return true;
 }
 
-// The process before this one has ended once its lock is free; what it still owed is resumed here.
+// The process before this one has ended once its lock is free; what it still owed is resumed here. An owner
+// looks whether a successor has come.
 void Node::TryClaim() {
-  if (!journal_.Claim()) return claim_timer_.Start(kClaimEvery);
+  claim_timer_.Start(kClaimEvery);
+  if (!successor_) return ShareRoom(journal_.HasSuccessor());
+  if (journal_.Claim() != JournalFile::Role::kOwner) return;
+  successor_ = false;
+  ShareRoom(false);
   std::string bytes, trouble;
   if (!journal_.Read(config_.disk_bytes, bytes, trouble)) {
     log_.Write(base::kFolderUnusable, config_.state_folder, trouble);
@@ -209,17 +240,33 @@
   recovered.records = std::move(old.records);
   recovered.now = loop_.Now();
   Push(std::move(recovered));
+  BeginCalls();
+}
+
+// Also of a successor whose predecessor is left running: each serves what its clients bring.
+void Node::BeginCalls() {
+  hold_timer_.Stop();
+  if (!stopping_) Push(state::StopAsked{Micros::max()});
   RunTurn();
 }
 
+void Node::ShareRoom(bool shared) {
+  if (std::exchange(room_shared_, shared) != shared)
+    state_.limits.journal_bytes = JournalRoom(config_, shared);
+}
+
 void Node::Stop() {
   if (std::exchange(stopping_, true)) return;
   log_.Write(base::kStopping, state_.open());
   server_.SetReady(false);
   changes_.Stop();
-  Push(state::StopAsked{loop_.Now() + kFinishAfter});
-  stop_listening_at_ = loop_.Now() + kStopListeningAfter;
-  leave_timer_.Start(kLeaveClientsAfter);
+  // With a successor nothing is gained by staying: it listens already, and waits for what is held here.
+  handing_over_ = journal_.HasSuccessor();
+  state_.rewrite_due |= handing_over_;  // a short journal is taken over soonest, and leaves the most room
+  const Micros now = loop_.Now();
+  Push(state::StopAsked{now + (handing_over_ ? Micros(0) : kFinishAfter)});
+  stop_listening_at_ = now + (handing_over_ ? Micros(0) : kStopListeningAfter);
+  leave_timer_.Start(handing_over_ ? Micros(0) : kLeaveClientsAfter);
   finish_timer_.Start(kFinishAfter);
 }
 
@@ -398,15 +445,19 @@
       {"clients", {{"now", server_.connections()}, {"most", Clients(config_)}}},
       {"calls", {{"connections", pool_.connections()}, {"most", Calls(config_)}, {"opened", pool_.opened()}}},
       {"journal",
-       {{"bytes", state_.journal_size}, {"room", JournalRoom(config_)}, {"writable", !journal_failed_}}},
+       {{"bytes", state_.journal_size},
+        {"room", JournalRoom(config_, room_shared_)},
+        {"writable", !journal_failed_}}},
       {"log", {{"lines", log_.written()}, {"dropped", log_.dropped()}, {"waiting_bytes", log_.waiting()}}}};
 }
 
 void Node::LeaveClients() {
-  const bool last = loop_.Now() >= stop_listening_at_;
+  const Micros now = loop_.Now();
+  const bool last = now >= stop_listening_at_;
   if (last) server_.StopListening();
-  const bool left = server_.CloseQuiet(last);
-  if (last && left && state_.open() == 0 && state_.notices.empty()) return Finish();
+  const bool left = server_.CloseQuiet(last && (!handing_over_ || now >= stop_listening_at_ + kLeaveUnasked));
+  const bool over = handing_over_ ? pool_.calls() == 0 : state_.open() == 0 && state_.notices.empty();
+  if (last && left && over && events_.empty()) return Finish();
   leave_timer_.Start(kLeaveAgain);
 }
 
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -68,6 +68,8 @@
   void ResumeWork();
   void LetQuietGo();
   void TryClaim();
+  void BeginCalls();
+  void ShareRoom(bool shared);
   void MoveDiscovery();
   void Arrived();
   std::string Figures() const;
@@ -134,7 +136,7 @@
   net::AdminServer admin_;
   Changes changes_;
   net::Timer turn_timer_, later_timer_, leave_timer_, finish_timer_, report_timer_, tick_timer_;
-  net::Timer claim_timer_, quiet_timer_, arrived_timer_;
+  net::Timer claim_timer_, quiet_timer_, arrived_timer_, hold_timer_;
   uv_prepare_t prepare_{};
   uv_check_t check_{};
   uv_idle_t idle_{};  // runs while events wait: the loop must not sleep then
@@ -142,6 +144,9 @@
   std::vector<state::Event> decisions_;  // of the present turn
   state::Effects later_;                 // told to the module when a failed journal write is tried again
   bool turn_due_ = false, stopping_ = false, journal_failed_ = false, quiesced_ = false;
+  // Beside a process that this one replaces; beside one that replaces this one, with the folder's room halved
+  // in both cases.
+  bool successor_ = false, handing_over_ = false, room_shared_ = false;
   Micros stop_listening_at_{0};
   Micros now_{0}, wake_at_{0};  // of the last turn; for the next, as the module asked
   std::array<std::uint64_t, static_cast<std::size_t>(state::kLastEnding) + 1> endings_{};
--- a/src/state/reducer.cpp
+++ b/src/state/reducer.cpp
@@ -308,6 +308,7 @@
     message.key = owed.taken.order_key;
     message.give_up_at = owed.taken.give_up_at;
     message.destination = owed.taken.destination;
+    message.place = owed.taken.serial;
     message.past = owed.past;
     return message;
   }
--- a/tests/brain_rules_test.cpp
+++ b/tests/brain_rules_test.cpp
@@ -546,6 +546,37 @@
   EXPECT_EQ(node.CountSends(2), 1);
 }
 
+// A successor has taken later messages of a key before it is told what the process before it left.
+TEST(Resumed, EarlierMessagesOfAKeyGoFirstAndNoneBesideOneThatIsOut) {
+  Settings settings = BaseSettings();
+  settings.classes[0].sequential = true;
+  TestNode node(settings);
+  const auto taken = [&](MessageId id, const std::string& key) {
+    Message message = Resumed(id, {}, key);
+    message.place = id;
+    node.brain().OnMessage(message);
+  };
+  node.Turn(seconds(10), [&] {
+    node.List({TestNode::At(1, "a")});
+    taken(100, "out");
+  });
+  ASSERT_EQ(node.CountSends(100), 1);
+  node.brain().OnStop(seconds(10));
+  node.Turn(seconds(10) + milliseconds(1), [&] { taken(101, "held"), taken(102, "held"); });
+  EXPECT_EQ(node.CountSends(101), 0);
+  node.brain().OnStop(Micros::max());
+  node.Turn(seconds(10) + milliseconds(20), [&] { taken(1, "held"), taken(2, "held"), taken(3, "out"); });
+  EXPECT_EQ(node.CountSends(1), 1);
+  EXPECT_EQ(node.CountSends(2) + node.CountSends(101) + node.CountSends(3), 0);
+  node.Turn(seconds(10) + milliseconds(40),
+            [&] { node.Settle(1, Result::kOk), node.Settle(100, Result::kOk); });
+  EXPECT_EQ(node.CountSends(2), 1);
+  EXPECT_EQ(node.CountSends(3), 1);
+  node.Turn(seconds(10) + milliseconds(60), [&] { node.Settle(2, Result::kOk); });
+  EXPECT_EQ(node.CountSends(101), 1);
+  EXPECT_EQ(node.CountSends(102), 0);
+}
+
 TEST(Stop, OnlyWhatShouldEndByThenIsBegun) {
   TestNode node(BaseSettings());
   node.Run(
--- a/tests/node_ops_test.cpp
+++ b/tests/node_ops_test.cpp
@@ -106,21 +106,35 @@
   EXPECT_EQ(Call(control, "GET", "/admin/health").first, 200);
 }
 
-TEST_F(OpsTest, ASuccessorServesBesideAndResumesWhatTheOldOneLeft) {
+class SuccessorTest : public OpsTest {
+ protected:
+  SuccessorTest() : successor(platform.address()) {}
+  void StartSuccessor() {
+    successor.config = node.config;
+    successor.config["listen"] = "127.0.0.1:" + std::to_string(node.port);
+    successor.config["control"] = "127.0.0.1:" + std::to_string(FreePort());
+    successor.shared_state = node.folder + "/state";
+    ASSERT_TRUE(successor.Start());
+    ASSERT_NE(successor.log().find("journal.shared"), std::string::npos);
+  }
+  bool TakenOver() { return successor.log().find("journal.taken_over") != std::string::npos; }
+  NodeProcess successor;
+};
+
+TEST_F(SuccessorTest, ResumesWhatTheOldOneLeftWhichEndsAtOnce) {
   ASSERT_TRUE(node.Start());
   // Nothing is listed for 7 yet: the message stays open.
   ASSERT_EQ(Enqueue("left", "c=safe,d=60000,dest=7"), "+OK");
-  NodeProcess successor(platform.address());
-  successor.config = node.config;
-  successor.config["listen"] = "127.0.0.1:" + std::to_string(node.port);
-  successor.config["control"] = "127.0.0.1:" + std::to_string(FreePort());
-  successor.shared_state = node.folder + "/state";
-  ASSERT_TRUE(successor.Start());
-  EXPECT_NE(successor.log().find("journal.shared"), std::string::npos);
-  EXPECT_EQ(Ping(node.port), "+PONG");
+  ClientStandIn idle(node.port);
+  ASSERT_EQ(idle.Ask(ClientStandIn::Command({"PING"})), "+PONG");
+  StartSuccessor();
+  const auto since = Clock::now();
   node.Signal(SIGTERM);
+  EXPECT_TRUE(idle.socket().Read().empty());
   EXPECT_EQ(node.Wait(), 0);
-  ASSERT_TRUE(Eventually([&] { return successor.log().find("journal.taken_over") != std::string::npos; }));
+  EXPECT_LT(Clock::now() - since, std::chrono::seconds(2));  // 3 s and more without a successor
+  ASSERT_TRUE(Eventually([&] { return TakenOver(); }));
+  EXPECT_EQ(Ping(successor.port), "+PONG");
   EndpointStandIn seven;
   platform.Set(PlatformStandIn::Member("seven", seven.address(), 7));
   EXPECT_TRUE(Eventually([&] { return seven.CallsFor("left") == 1; }));
@@ -130,5 +144,35 @@
   EXPECT_EQ(seven.CallsFor("left"), 1);
 }
 
+TEST_F(SuccessorTest, BeginsNoCallWhileTheOldOnesAreOut) {
+  EndpointStandIn seven([](Socket& socket, const HttpRequest&, int) { return Hang(socket); });
+  platform.Set(PlatformStandIn::Member("seven", seven.address(), 7));
+  ASSERT_TRUE(node.Start());
+  ASSERT_EQ(Enqueue("out", "c=safe,d=60000,dest=7"), "+OK");
+  ASSERT_TRUE(Eventually([&] { return seven.CallsFor("out") == 1; }));
+  StartSuccessor();
+  node.Signal(SIGTERM);
+  ASSERT_TRUE(Eventually([&] { return node.log().find("stopping") != std::string::npos; }));
+  ASSERT_EQ(ClientStandIn(successor.port).Ask(ClientStandIn::Enqueue("new", "c=safe,d=60000,dest=7")), "+OK");
+  std::this_thread::sleep_for(std::chrono::milliseconds(300));
+  EXPECT_EQ(seven.CallsFor("new"), 0);
+  EXPECT_FALSE(TakenOver());
+  // A predecessor that stays holds nothing up for long.
+  EXPECT_TRUE(Eventually([&] { return seven.CallsFor("new") == 1; }));
+  EXPECT_EQ(node.Wait(), 0);
+}
+
+TEST_F(SuccessorTest, AThirdProcessIsRefused) {
+  ASSERT_TRUE(node.Start());
+  StartSuccessor();
+  NodeProcess third(platform.address());
+  third.config = successor.config;
+  third.config["control"] = "127.0.0.1:" + std::to_string(FreePort());
+  third.shared_state = node.folder + "/state";
+  EXPECT_FALSE(third.Start());
+  EXPECT_EQ(third.Wait(), 1);
+  EXPECT_NE(third.log().find("two processes serve from it already"), std::string::npos);
+}
+
 }  // namespace
 }  // namespace indigosaddle::testing
--- a/tests/node_parts_test.cpp
+++ b/tests/node_parts_test.cpp
@@ -241,5 +241,39 @@
   EXPECT_EQ(Read(), "one still");
 }
 
+TEST_F(JournalFolder, AnOwnersRewriteLeavesItsSuccessorsJournal) {
+  JournalFile owner(folder_), successor(folder_), third(folder_);
+  ASSERT_EQ(owner.Claim(), JournalFile::Role::kOwner);
+  ASSERT_TRUE(owner.Rewrite("owner "));
+  EXPECT_FALSE(owner.HasSuccessor());
+  ASSERT_EQ(successor.Claim(), JournalFile::Role::kSuccessor);
+  ASSERT_TRUE(successor.Rewrite("successor "));
+  EXPECT_EQ(third.Claim(), JournalFile::Role::kNone);  // would write the successor's file
+  EXPECT_TRUE(owner.HasSuccessor());
+  ASSERT_TRUE(owner.Rewrite("compacted "));
+  std::string next;
+  JournalFile look(folder_);
+  ASSERT_TRUE(look.ReadNext(1000, next, trouble_));
+  EXPECT_EQ(next, "successor ");
+}
+
+TEST_F(JournalFolder, ASuccessorBecomesTheOwnerAndAnotherMayCome) {
+  JournalFile successor(folder_);
+  {
+    JournalFile owner(folder_);
+    ASSERT_EQ(owner.Claim(), JournalFile::Role::kOwner);
+    ASSERT_TRUE(owner.Rewrite("owner "));
+    ASSERT_EQ(successor.Claim(), JournalFile::Role::kSuccessor);
+    ASSERT_TRUE(successor.Rewrite("successor "));
+  }
+  ASSERT_EQ(successor.Claim(), JournalFile::Role::kOwner);
+  JournalFile another(folder_);
+  EXPECT_EQ(another.Claim(), JournalFile::Role::kNone);  // until the first rewrite holds all
+  ASSERT_TRUE(successor.Rewrite("all "));
+  EXPECT_FALSE(std::filesystem::exists(folder_ + "/journal.next"));
+  EXPECT_EQ(another.Claim(), JournalFile::Role::kSuccessor);
+  EXPECT_TRUE(successor.HasSuccessor());
+}
+
 }  // namespace
 }  // namespace indigosaddle::node
