The status command tells whether the node is ready, quiesced or stopping, and counts by class

Change: Node::Standing and Node::FiguresByClass serve the operators' HTTP address and the control socket alike; the command prints both, and whether the process waits to take over from another. No decision changed.

--- a/src/cli/status.cpp
+++ b/src/cli/status.cpp
@@ -19,10 +19,11 @@
     const auto number = [](const nlohmann::json& at, const char* name) {
       return at.at(name).get<std::uint64_t>();
     };
-    fmt::print("{} {}, process {}, serves on {} for {:.0f} s{}\n", status.at("name").get<std::string>(),
+    fmt::print("{} {}, process {}, serves on {} for {:.0f} s, {}{}\n", status.at("name").get<std::string>(),
                status.at("version").get<std::string>(), number(status, "pid"),
                status.at("address").get<std::string>(), status.at("serving_ms").get<double>() / 1000,
-               status.at("stopping").get<bool>() ? ", stopping" : "");
+               status.at("state").get<std::string>(),
+               status.at("waits_to_take_over").get<bool>() ? ", waits to take over" : "");
     fmt::print("configuration: generation {}", number(c, "generation"));
     if (c.at("on_trial").get<bool>())
       fmt::print(" on trial for {:.1f} s more", c.at("trial_left_ms").get<double>() / 1000);
@@ -31,6 +32,10 @@
         "messages: {} held, {} notices owed; {} taken, {} delivered, {} returned, {} failed, {} busy\n",
         number(m, "open"), number(m, "notices"), number(m, "taken"), number(m, "delivered"),
         number(m, "returned"), number(m, "given_up"), number(m, "busy"));
+    for (const auto& [name, figures] : status.at("classes").items()) {
+      fmt::print("class {}: {} completed, {} rejected, {} failed\n", name, number(figures, "completed"),
+                 number(figures, "rejected"), number(figures, "failed"));
+    }
     if (const auto& w = status.at("watch"); !w.is_null()) {
       const auto& o = w.at("otherwise");
       fmt::print(
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -353,9 +353,7 @@
   };
   if (path == "/admin/health") {
     return only(get, [&]() -> net::AdminAnswer {
-      if (stopping_) return {503, "stopping\n"};
-      if (quiesced_) return {503, "quiesced\n"};
-      return {200, "ready\n"};
+      return {stopping_ || quiesced_ ? 503 : 200, fmt::format("{}\n", Standing())};
     });
   }
   if (path == "/admin/stats") return only(get, [&]() -> net::AdminAnswer { return {200, Figures()}; });
@@ -396,13 +394,19 @@
   quiet_timer_.Start(kLetGoEvery);
 }
 
-// The figures in the statsd form, counts from the start of the process.
-std::string Node::Figures() const {
-  // Every class named now, and those that a change has dropped, which still count.
+const char* Node::Standing() const { return stopping_ ? "stopping" : quiesced_ ? "quiesced" : "ready"; }
+
+// Every class named now, and those that a change has dropped, which still count.
+std::map<std::string, Node::ClassFigures> Node::FiguresByClass() const {
   std::map<std::string, ClassFigures> classes = by_class_;
   for (const auto& [name, number] : config_.classes) classes.try_emplace(name);
+  return classes;
+}
+
+// The figures in the statsd form, counts from the start of the process.
+std::string Node::Figures() const {
   std::string out;
-  for (const auto& [name, figures] : classes) {
+  for (const auto& [name, figures] : FiguresByClass()) {
     out += fmt::format(
         "app.downstream_requests.{0}.completed:{1}|c\napp.downstream_requests.{0}.rejected:{2}|c\n"
         "app.downstream_requests.{0}.failed:{3}|c\n",
@@ -425,6 +429,9 @@
 }
 
 nlohmann::json Node::Status() const {
+  nlohmann::json classes = nlohmann::json::object();
+  for (const auto& [name, f] : FiguresByClass())
+    classes[name] = {{"completed", f.completed}, {"rejected", f.rejected}, {"failed", f.failed}};
   return {
       {"ok", true},
       {"name", config_.name},
@@ -432,6 +439,9 @@
       {"pid", getpid()},
       {"serving_ms", (loop_.Now() - started_at_).count() / 1000},
       {"stopping", stopping_},
+      {"state", Standing()},
+      {"waits_to_take_over", successor_},
+      {"classes", classes},
       {"address", server_.address()},
       {"configuration", changes_.Status()},
       {"messages",
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -72,6 +72,11 @@
   void ShareRoom(bool shared);
   void MoveDiscovery();
   void Arrived();
+  const char* Standing() const;
+  struct ClassFigures {
+    std::uint64_t completed = 0, rejected = 0, failed = 0;
+  };
+  std::map<std::string, ClassFigures> FiguresByClass() const;
   std::string Figures() const;
 
   // What changes of the configuration need of the node.
@@ -152,9 +157,6 @@
   std::array<std::uint64_t, static_cast<std::size_t>(state::kLastEnding) + 1> endings_{};
   std::uint64_t taken_ = 0, busy_ = 0, failed_ = 0, delivered_ = 0, returned_ = 0, given_up_ = 0;
   Micros started_at_{0};
-  struct ClassFigures {
-    std::uint64_t completed = 0, rejected = 0, failed = 0;
-  };
   std::map<std::string, ClassFigures> by_class_;  // from the start of the process, as the figures tell
 };
 
--- a/tests/node_changes_test.cpp
+++ b/tests/node_changes_test.cpp
@@ -362,6 +362,8 @@
       {"config schema", 0, "\"$schema\""},
       {"config show --running", 0, "delivery.call_slots"},
       {"status", 0, "generation 1"},
+      {"status", 0, "s, ready\n"},
+      {"status", 0, "class safe: 0 completed, 0 rejected, 0 failed\n"},
       {"status --socket /no/such", 1, "does the node run"},
       {"journal verify " + node.folder + "/state", 0, "messages owed"},
       {"journal inspect " + node.folder + "/state --json", 0, "["},
