--- a/src/net/resp_server.h
+++ b/src/net/resp_server.h
@@ -55,12 +55,12 @@
   void SetLimits(Limits limits) { limits_ = limits; }  // connections that stand are not cut
   void Reply(std::uint64_t connection, std::uint64_t command, std::string line);
   bool Gone(std::uint64_t connection) const;  // closed by the client, read or not
-  // Closes connections that stand between requests and have nothing unread; those that asked nothing yet only
-  // where `all`. True when none is left.
+  // Closes connections that stand between requests and have nothing unread, and from then on each with its
+  // next reply; those that asked nothing yet only where `all`. True when none is left.
   bool CloseQuiet(bool all);
   std::size_t connections() const { return connections_.size(); }
   // While false, PING is answered with an error: a front that asks moves its clients elsewhere.
-  void SetReady(bool ready) { ready_ = ready; }
+  void SetReady(bool ready) { ready_ = ready, departing_ &= !ready; }
   bool ready() const { return ready_; }
 
  private:
@@ -78,7 +78,7 @@
   std::size_t unread_bytes_ = 0;
   uv_tcp_t* listener_ = nullptr;  // closed and freed by the loop
   bool waiting_ = false;          // a client that there was no room for
-  bool ready_ = true;
+  bool ready_ = true, departing_ = false;
   std::uint64_t last_connection_ = 0;
   std::map<std::uint64_t, std::unique_ptr<Connection>> connections_;
   std::list<std::unique_ptr<Connection>> buried_;  // may still be in one of their callbacks
--- a/tests/resp_server_test.cpp
+++ b/tests/resp_server_test.cpp
@@ -54,5 +54,38 @@
   EXPECT_EQ(server.connections(), clients.size());
 }
 
+// A client whose next command crosses the node's leaving finds its last reply and an orderly end. Closed at
+// once, the crossing bytes turned the end into a reset.
+TEST_F(RespServerTest, WhoSendsAsTheNodeLeavesFindsAnOrderlyEnd) {
+  ASSERT_EQ(server.Listen("127.0.0.1:0"), 0);
+  const Socket client = Connect();
+  ASSERT_TRUE(client.Write("*1\r\n$4\r\nPING\r\n"));
+  ASSERT_EQ(ReadAfterSteps(client), "+PONG\r\n");
+  EXPECT_FALSE(server.CloseQuiet(false));
+  ASSERT_TRUE(client.Write("*1\r\n$4\r\nPING\r\n"));  // before the close is done
+  for (int step = 0; step < 5; ++step) uv_run(loop.raw(), UV_RUN_NOWAIT);
+  std::this_thread::sleep_for(std::chrono::milliseconds(20));
+  char byte = 0;
+  EXPECT_EQ(recv(client.get(), &byte, 1, MSG_DONTWAIT), 0);
+  EXPECT_EQ(send(client.get(), "x", 1, MSG_NOSIGNAL), 1);  // nor has it been reset since
+  for (int step = 0; step < 400 && server.connections() > 0; ++step) {
+    uv_run(loop.raw(), UV_RUN_NOWAIT);
+    std::this_thread::sleep_for(std::chrono::milliseconds(1));
+  }
+  EXPECT_EQ(server.connections(), 0u);  // it does not wait for the client for ever
+}
+
+// Once the node leaves, a connection ends with its next reply: nothing can be sent on it that is not read.
+TEST_F(RespServerTest, ALeavingNodeEndsAConnectionWithItsNextReply) {
+  ASSERT_EQ(server.Listen("127.0.0.1:0"), 0);
+  const Socket busy = Connect();
+  ASSERT_TRUE(busy.Write("*1\r\n$4\r\n"));  // in the middle of a command
+  for (int step = 0; step < 5; ++step) uv_run(loop.raw(), UV_RUN_NOWAIT);
+  EXPECT_FALSE(server.CloseQuiet(true));
+  ASSERT_TRUE(busy.Write("PING\r\n"));
+  EXPECT_EQ(ReadAfterSteps(busy), "+PONG\r\n");
+  EXPECT_EQ(ReadAfterSteps(busy), "ended");
+}
+
 }  // namespace
 }  // namespace indigosaddle::testing
