--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -59,6 +59,10 @@
 
   // Where anything of it changed: what Agent publishes. The number is the caller's.
   Snapshot View(Micros now) const;
+  // Parts of it.
+  std::map<std::string, LeaseView> Leases(Micros now) const;
+  std::map<std::string, SiteWord> SitesAgreed() const;
+  std::size_t present() const { return members_.present(); }
   const Memory& memory() const { return acceptor_.memory(); }
   const std::vector<Peer>& roster() const { return options_.roster; }
   std::uint64_t electorate() const { return electorate_; }
@@ -75,7 +79,6 @@
   void Write(const std::string& key, const std::string& value, std::uint64_t epoch);
   void TellSight(Micros now);
   SiteReport ReportOf(const std::string& site) const;
-  std::map<std::string, SiteWord> SitesAgreed() const;
   std::size_t Senders(Micros now) const;
   bool FilesDiffer(Micros now) const;
   bool MayHold(Micros now) const;
--- a/src/fleet/fleet_agreed.cpp
+++ b/src/fleet/fleet_agreed.cpp
@@ -96,6 +96,14 @@
   CoordinateSites(it->second.epoch(), now);
 }
 
+std::map<std::string, LeaseView> Fleet::Leases(Micros now) const {
+  std::map<std::string, LeaseView> leases;
+  for (const auto& [resource, proposer] : proposers_) {
+    if (proposer.Holds(now) && MayHold(now)) leases[resource] = {proposer.epoch(), proposer.until()};
+  }
+  return leases;
+}
+
 Snapshot Fleet::View(Micros now) const {
   Snapshot view;
   view.sure = contact_.Sure(now);
@@ -112,9 +120,7 @@
   if (agreed > 0 && reached_) view.senders = std::max(agreed, view.present);
   for (const auto& [name, member] : members_.all())
     view.members.push_back({name, member.peer.site, member.word.liveness, member.known, member.word.start});
-  for (const auto& [resource, proposer] : proposers_) {
-    if (proposer.Holds(now) && MayHold(now)) view.leases[resource] = {proposer.epoch(), proposer.until()};
-  }
+  view.leases = Leases(now);
   view.facts = facts_.all();
   view.sites = SitesAgreed();
   return view;
--- a/tests/fleet/world.h
+++ b/tests/fleet/world.h
@@ -4,8 +4,6 @@
 // After every event it is checked that no lease has two holders and that epochs only rise.
 #pragma once
 
-#include <gtest/gtest.h>
-
 #include <functional>
 #include <map>
 #include <memory>
@@ -134,12 +132,13 @@
   bool Agree(int site, SiteState state, const std::set<int>& but = {}) const {
     for (int i = 0; i < size(); ++i) {
       if (!Up(i) || but.contains(i)) continue;
-      const auto sites = View(i).sites;
+      const auto sites = At(i).SitesAgreed();
       const auto it = sites.find("site" + std::to_string(site));
       if (it == sites.end() || it->second.state != state) return false;
     }
     return true;
   }
+  const Fleet& At(int i) const { return *nodes_[static_cast<std::size_t>(i)].fleet; }
   Snapshot View(int i) const { return nodes_[static_cast<std::size_t>(i)].fleet->View(Local(i)); }
   bool Up(int i) const { return nodes_[static_cast<std::size_t>(i)].fleet != nullptr; }
   bool Frozen(int i) const { return now_ < nodes_[static_cast<std::size_t>(i)].frozen_until; }
@@ -150,12 +149,12 @@
   }
   int Holder(const std::string& lease = kCoordinator) const {
     for (int i = 0; i < size(); ++i)
-      if (Up(i) && !Frozen(i) && View(i).leases.contains(lease)) return i;
+      if (Up(i) && !Frozen(i) && At(i).Leases(Local(i)).contains(lease)) return i;
     return -1;
   }
   bool AllSeeAll() const {
     for (int i = 0; i < size(); ++i)
-      if (Up(i) && View(i).present != nodes_.size()) return false;
+      if (Up(i) && At(i).present() != nodes_.size()) return false;
     return true;
   }
   int size() const { return static_cast<int>(nodes_.size()); }
@@ -233,7 +232,7 @@
     std::map<std::string, int> holders;
     for (int i = 0; i < size(); ++i) {
       if (!roster_[static_cast<std::size_t>(i)].votes || !Up(i) || Frozen(i)) continue;
-      for (const auto& [resource, lease] : View(i).leases) {
+      for (const auto& [resource, lease] : At(i).Leases(Local(i))) {
         const auto [it, first] = holders.emplace(resource, i);
         if (!first) broken.push_back(resource + " is held by " + Name(it->second) + " and " + Name(i));
         auto& [epoch, holder] = epochs_[resource];
