A second reading: one write loop and one descriptor, one wake-up, one way to a fact, one pass over the sights

Found by reading the whole change and by the list of duplicates; nothing behaves otherwise. - memory_file.cpp had journal_file.cpp's WriteAll and cli/common.cpp's Descriptor again: both are base/descriptor.h now. - Agent had a uv_async_t of its own beside net::Wakeup, which now copies its function as net::Timer does, so that it may end itself while called. - A member's own sight is written by Fleet::Write, which counts versions already; Coordinate asks Leases what it holds. - The coordinator parsed every member's sight once for each site, each tick: Reports reads each once for all sites. - CheckFleet and ReadFleet had the lambdas of CheckWhole and ReadOperators; Adopt and OnFleet the same event. - Dead: Members::changes, Fleet::roster, Fleet::electorate. SIGSTOP and SIGCONT by name. F1 to F5 are paragraphs again.

--- /dev/null
+++ b/src/base/descriptor.h
@@ -0,0 +1,36 @@
+// A file descriptor that is closed at the end of its scope, and a write that takes all of its bytes or fails.
+#pragma once
+
+#include <unistd.h>
+
+#include <cerrno>
+#include <cstddef>
+#include <string_view>
+
+namespace indigosaddle::base {
+
+class Descriptor {
+ public:
+  explicit Descriptor(int number) : number_(number) {}  // negative: none
+  ~Descriptor() {
+    if (number_ >= 0) close(number_);
+  }
+  Descriptor(const Descriptor&) = delete;
+  Descriptor& operator=(const Descriptor&) = delete;
+  int get() const { return number_; }
+
+ private:
+  int number_;
+};
+
+inline bool WriteAll(int descriptor, std::string_view bytes) {
+  while (!bytes.empty()) {
+    const ssize_t wrote = write(descriptor, bytes.data(), bytes.size());
+    if (wrote < 0 && errno == EINTR) continue;
+    if (wrote <= 0) return false;
+    bytes.remove_prefix(static_cast<std::size_t>(wrote));
+  }
+  return true;
+}
+
+}  // namespace indigosaddle::base
--- a/src/cli/common.cpp
+++ b/src/cli/common.cpp
@@ -13,6 +13,7 @@
 #include <fstream>
 #include <iterator>
 
+#include "base/descriptor.h"
 #include "cli/cli.h"
 
 namespace indigosaddle::cli {
@@ -22,21 +23,6 @@
 constexpr const char* kUsualSocket = "control.sock";
 constexpr std::size_t kMostAnswer = std::size_t{16} * 1024 * 1024;
 
-// Closes the descriptor at the end of its scope.
-class Descriptor {
- public:
-  explicit Descriptor(int number) : number_(number) {}
-  ~Descriptor() {
-    if (number_ >= 0) close(number_);
-  }
-  Descriptor(const Descriptor&) = delete;
-  Descriptor& operator=(const Descriptor&) = delete;
-  int get() const { return number_; }
-
- private:
-  int number_;
-};
-
 }  // namespace
 
 std::string ReadText(const std::string& path) {
@@ -83,7 +69,7 @@
   if (socket_path.size() >= sizeof address.sun_path)
     throw Failure(Exit::kBadInput, socket_path + ": is too long");
   std::memcpy(address.sun_path, socket_path.data(), socket_path.size());
-  const Descriptor peer(socket(AF_UNIX, SOCK_STREAM | SOCK_CLOEXEC, 0));
+  const base::Descriptor peer(socket(AF_UNIX, SOCK_STREAM | SOCK_CLOEXEC, 0));
   if (connect(peer.get(), reinterpret_cast<const sockaddr*>(&address), sizeof address) != 0) {
     throw Failure(Exit::kFailed, fmt::format("{}: {}; does the node run, with control.socket set?",
                                              socket_path, std::strerror(errno)));
--- a/src/faults/cluster.h
+++ b/src/faults/cluster.h
@@ -3,6 +3,8 @@
 // prints.
 #pragma once
 
+#include <signal.h>
+
 #include <atomic>
 #include <chrono>
 #include <cstdint>
@@ -44,11 +46,11 @@
   static std::string Name(int i) { return "n" + std::to_string(i); }
   void Start(int i);
   void StartAll();
-  void Kill(int i);                                     // SIGKILL
-  std::optional<int> Stop(int i);                       // SIGTERM, and how it ended
-  void Freeze(int i) { processes_.at(i)->Signal(19); }  // SIGSTOP
-  void Thaw(int i) { processes_.at(i)->Signal(18); }    // SIGCONT
-  void Forget(int i);                                   // the folder is lost with the machine
+  void Kill(int i);                // SIGKILL
+  std::optional<int> Stop(int i);  // SIGTERM, and how it ended
+  void Freeze(int i) { processes_.at(i)->Signal(SIGSTOP); }
+  void Thaw(int i) { processes_.at(i)->Signal(SIGCONT); }
+  void Forget(int i);  // the folder is lost with the machine
   bool Up(int i) const { return processes_.contains(i); }
   Process& process(int i) { return *processes_.at(i); }
   Relay& relay() { return *relay_; }
--- a/src/fleet/agent.cpp
+++ b/src/fleet/agent.cpp
@@ -60,10 +60,7 @@
                                          options_.name, counters_);
   if (std::string reason = endpoint_->Listen(options_.listen); !reason.empty()) return reason;
   tick_ = std::make_unique<net::Timer>(loop_, [this] { Tick(); });
-  ask_close_ = new uv_async_t{};
-  uv_async_init(loop_.raw(), ask_close_,
-                [](uv_async_t* async) { static_cast<Agent*>(async->data)->Close(); });
-  ask_close_->data = this;
+  ask_close_ = std::make_unique<net::Wakeup>(loop_, [this] { Close(); });
   tick_->Start(Micros(0));
   // Signals are the main thread's.
   sigset_t all, before;
@@ -76,7 +73,7 @@
 
 Agent::~Agent() {
   if (!thread_.joinable()) return;
-  uv_async_send(ask_close_);
+  ask_close_->Ask();
   thread_.join();
 }
 
@@ -87,8 +84,7 @@
   Carry(out);
   tick_.reset();
   endpoint_.reset();
-  uv_close(reinterpret_cast<uv_handle_t*>(ask_close_),
-           [](uv_handle_t* h) { delete reinterpret_cast<uv_async_t*>(h); });
+  ask_close_.reset();
 }
 
 void Agent::OnPacket(const Packet& packet) {
--- a/src/fleet/agent.h
+++ b/src/fleet/agent.h
@@ -2,8 +2,6 @@
 // Fleet (fleet.h), keeps the voter's memory on the disk, and publishes snapshots. Nothing is decided here.
 #pragma once
 
-#include <uv.h>
-
 #include <atomic>
 #include <functional>
 #include <memory>
@@ -18,6 +16,7 @@
 #include "fleet/notes.h"
 #include "fleet/published.h"
 #include "net/loop.h"
+#include "net/wakeup.h"
 
 namespace indigosaddle::fleet {
 
@@ -79,7 +78,7 @@
   bool memory_fails_ = false;
   std::atomic<bool> list_{true}, clients_{true};
   net::Loop loop_;
-  uv_async_t* ask_close_ = nullptr;  // the one handle that other threads may touch
+  std::unique_ptr<net::Wakeup> ask_close_;  // the one handle that other threads may touch
   std::unique_ptr<Fleet> fleet_;
   std::unique_ptr<Endpoint> endpoint_;
   std::unique_ptr<net::Timer> tick_;
--- a/src/fleet/fleet.cpp
+++ b/src/fleet/fleet.cpp
@@ -161,7 +161,7 @@
     if (packet.kind == PacketKind::kPing) Send(PacketKind::kGossip, packet.from, 0, "", out);
     return;
   }
-  const bool voter = std::find(voters_.begin(), voters_.end(), packet.from) != voters_.end();
+  const bool voter = members_.all().at(packet.from).peer.votes;
   if (packet.electorate != electorate_ && (voter || votes_)) {
     differed_ = now;
     acceptor_.BeSilent(now + 2 * options_.pace.lease);
--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -3,12 +3,17 @@
 // thread of its own; tests move them on a virtual network.
 //
 // What holds, whatever is lost, late, doubled or out of order:
-//   F1  At no instant two members hold one lease (proposer.h, acceptor.h).
-//   F2  A lease's epoch rises with each holder; a fact of a lower epoch never takes the place of a higher
-//   one's. F3  Only the member itself raises its incarnation; a word about an earlier process of a name is
-//   not heard. F4  A member that is cut off knows so within a lease's term, and claims nothing agreed from
-//   then on. F5  The count of senders never falls on knowledge that is not the agreed one: unsure means more
-//   senders.
+//
+// F1: At no instant two members hold one lease (proposer.h, acceptor.h).
+//
+// F2: A lease's epoch rises with each holder; a fact of a lower epoch never takes the place of a higher
+// one's.
+//
+// F3: Only the member itself raises its incarnation; a word about an earlier process of a name is not heard.
+//
+// F4: A member that is cut off knows so within a lease's term, and claims nothing agreed from then on.
+//
+// F5: The count of senders never falls on knowledge that is not the agreed one: unsure means more senders.
 #pragma once
 
 #include <cstdint>
@@ -64,8 +69,6 @@
   std::map<std::string, SiteWord> SitesAgreed() const;
   std::size_t present() const { return members_.present(); }
   const Memory& memory() const { return acceptor_.memory(); }
-  const std::vector<Peer>& roster() const { return options_.roster; }
-  std::uint64_t electorate() const { return electorate_; }
 
  private:
   Packet Make(PacketKind kind) const;
@@ -78,7 +81,7 @@
   void CoordinateSites(std::uint64_t epoch, Micros now);
   void Write(const std::string& key, const std::string& value, std::uint64_t epoch);
   void TellSight(Micros now);
-  SiteReport ReportOf(const std::string& site) const;
+  std::map<std::string, SiteReport> Reports() const;
   std::size_t Senders(Micros now) const;
   bool FilesDiffer(Micros now) const;
   bool MayHold(Micros now) const;
--- a/src/fleet/fleet_agreed.cpp
+++ b/src/fleet/fleet_agreed.cpp
@@ -90,10 +90,11 @@
 
 // The holder of the coordinator's lease writes what is agreed.
 void Fleet::Coordinate(Micros now) {
-  const auto it = proposers_.find(kCoordinator);
-  if (it == proposers_.end() || !it->second.Holds(now) || !MayHold(now)) return;
-  Write(kSendersFact, std::to_string(Senders(now)), it->second.epoch());
-  CoordinateSites(it->second.epoch(), now);
+  const auto leases = Leases(now);
+  const auto it = leases.find(kCoordinator);
+  if (it == leases.end()) return;
+  Write(kSendersFact, std::to_string(Senders(now)), it->second.epoch);
+  CoordinateSites(it->second.epoch, now);
 }
 
 std::map<std::string, LeaseView> Fleet::Leases(Micros now) const {
--- a/src/fleet/fleet_sites.cpp
+++ b/src/fleet/fleet_sites.cpp
@@ -1,6 +1,5 @@
 // What a member sees of whole sites, and what the coordinator makes of all that is seen.
 #include <algorithm>
-#include <set>
 
 #include "fleet/fleet.h"
 
@@ -27,50 +26,47 @@
   }
   for (const auto& [site, count] : seen)
     if (count == 0 && site != site_) sight.unseen.push_back(site);
-  const Fact* told = facts_.Find(SightKey(options_.name));
-  const std::uint64_t epoch = members_.start();
-  if (told != nullptr && told->epoch == epoch && told->value == sight.Text()) return;
-  const std::uint64_t version = told != nullptr && told->epoch == epoch ? told->version + 1 : 1;
-  const Fact fact{SightKey(options_.name), options_.name, sight.Text(), epoch, version};
-  if (facts_.Merge(fact)) gossip_.Add(fact);
+  Write(SightKey(options_.name), sight.Text(), members_.start());
 }
 
-SiteReport Fleet::ReportOf(const std::string& site) const {
-  SiteReport report;
+// Of every site, from one reading of each member's sight.
+std::map<std::string, SiteReport> Fleet::Reports() const {
+  std::map<std::string, SiteReport> reports;
+  for (const Peer& peer : options_.roster) ++reports[peer.site].members;
   const auto count = [&](const std::string& name, const std::string& at, bool present) {
-    const bool there = at == site;
-    report.members += there;
-    report.present += there && present;
+    if (!present) return;
+    ++reports[at].present;
     const Fact* fact = facts_.Find(SightKey(name));
     const auto sight = fact != nullptr ? MemberSight::Parse(fact->value) : std::nullopt;
-    if (!present || !sight) return;
-    if (there) {
-      report.touch += sight->touch;
-      report.without_list += !sight->list;
-      report.without_clients += !sight->clients;
-    } else if (sight->touch) {
+    if (!sight) return;
+    reports[at].without_list += !sight->list;
+    reports[at].without_clients += !sight->clients;
+    if (!sight->touch) return;
+    for (auto& [site, report] : reports) {
+      if (site == at) {
+        ++report.touch;
+        continue;
+      }
       ++report.others;
       report.accusers += std::find(sight->unseen.begin(), sight->unseen.end(), site) != sight->unseen.end();
     }
   };
   count(options_.name, site_, true);
   for (const auto& [name, member] : members_.all()) count(name, member.peer.site, member.present());
-  return report;
+  return reports;
 }
 
 void Fleet::CoordinateSites(std::uint64_t epoch, Micros now) {
-  std::set<std::string> sites;
-  for (const Peer& peer : options_.roster) sites.insert(peer.site);
-  for (const std::string& site : sites) {
+  for (const auto& [site, report] : Reports()) {
     const Fact* held = facts_.Find(SiteKey(site));
     if (held != nullptr && held->epoch > epoch) continue;
     const auto agreed = held != nullptr ? SiteWord::Parse(held->value) : std::nullopt;
-    Write(SiteKey(site), sites_.Decide(site, ReportOf(site), agreed, now).Text(), epoch);
+    Write(SiteKey(site), sites_.Decide(site, report, agreed, now).Text(), epoch);
   }
 }
 
-// A fact under the coordinator's lease of that epoch, where it says something new. `version` counts within
-// it.
+// A fact of this member's own, or under a lease that it holds, where it says something new. `version` counts
+// within the epoch.
 void Fleet::Write(const std::string& key, const std::string& value, std::uint64_t epoch) {
   const Fact* held = facts_.Find(key);
   Fact fact{key, options_.name, value, epoch, 1};
--- a/src/fleet/members.cpp
+++ b/src/fleet/members.cpp
@@ -64,7 +64,6 @@
     } else {
       superseded_ = true;
     }
-    ++changes_;
     return;
   }
   if (word.liveness == Liveness::kAlive ? word.incarnation <= incarnation_ : word.incarnation < incarnation_)
@@ -77,7 +76,6 @@
 void Members::Set(Member& member, const MemberWord& word, Micros now) {
   if (!member.known || member.word.liveness != word.liveness || member.word.start != word.start) {
     member.since = now;
-    ++changes_;
   }
   member.known = true;
   member.word = word;
--- a/src/fleet/members.h
+++ b/src/fleet/members.h
@@ -40,7 +40,6 @@
   const std::map<std::string, Member>& all() const { return members_; }  // others, by name
   bool Knows(const std::string& name) const { return members_.contains(name); }
   std::size_t present() const;  // with this one
-  std::uint64_t changes() const { return changes_; }
   // Our own suspicion was refuted so many times since the start: a sign that this process is slow.
   std::uint64_t refuted() const { return refuted_; }
   // A later process has our name and lives: this one may hold and claim nothing more.
@@ -64,7 +63,7 @@
   Gossip& gossip_;
   std::map<std::string, Member> members_;
   std::map<std::string, Suspicion> suspicions_;
-  std::uint64_t changes_ = 0, refuted_ = 0;
+  std::uint64_t refuted_ = 0;
   bool leaving_ = false, superseded_ = false;
 };
 
--- a/src/fleet/memory_file.cpp
+++ b/src/fleet/memory_file.cpp
@@ -11,6 +11,8 @@
 #include <cstring>
 #include <nlohmann/json.hpp>
 
+#include "base/descriptor.h"
+
 namespace indigosaddle::fleet {
 namespace {
 
@@ -20,30 +22,6 @@
 
 std::uint64_t Sum(const std::string& text) { return XXH3_64bits(text.data(), text.size()); }
 
-class File {
- public:
-  explicit File(int descriptor) : descriptor_(descriptor) {}
-  ~File() {
-    if (descriptor_ >= 0) close(descriptor_);
-  }
-  File(const File&) = delete;
-  File& operator=(const File&) = delete;
-  int get() const { return descriptor_; }
-
- private:
-  int descriptor_;
-};
-
-bool WriteAll(int descriptor, std::string_view bytes) {
-  while (!bytes.empty()) {
-    const ssize_t wrote = write(descriptor, bytes.data(), bytes.size());
-    if (wrote < 0 && errno == EINTR) continue;
-    if (wrote <= 0) return false;
-    bytes.remove_prefix(static_cast<std::size_t>(wrote));
-  }
-  return true;
-}
-
 }  // namespace
 
 MemoryFile::MemoryFile(const std::string& folder) : folder_(folder), path_(folder + "/fleet.memory") {}
@@ -77,7 +55,7 @@
 
 bool MemoryFile::Read(Memory& memory, std::string& trouble) const {
   trouble.clear();
-  const File file(open(path_.c_str(), O_RDONLY | O_CLOEXEC));
+  const base::Descriptor file(open(path_.c_str(), O_RDONLY | O_CLOEXEC));
   if (file.get() < 0) {
     if (errno != ENOENT) trouble = std::strerror(errno);
     return false;
@@ -98,11 +76,12 @@
 bool MemoryFile::Write(const Memory& memory) const {
   const std::string beside = path_ + ".new";
   {
-    const File file(open(beside.c_str(), O_WRONLY | O_CREAT | O_TRUNC | O_CLOEXEC, 0600));
-    if (file.get() < 0 || !WriteAll(file.get(), Text(memory)) || fdatasync(file.get()) != 0) return false;
+    const base::Descriptor file(open(beside.c_str(), O_WRONLY | O_CREAT | O_TRUNC | O_CLOEXEC, 0600));
+    if (file.get() < 0 || !base::WriteAll(file.get(), Text(memory)) || fdatasync(file.get()) != 0)
+      return false;
   }
   if (std::rename(beside.c_str(), path_.c_str()) != 0) return false;
-  const File folder(open(folder_.c_str(), O_RDONLY | O_DIRECTORY | O_CLOEXEC));
+  const base::Descriptor folder(open(folder_.c_str(), O_RDONLY | O_DIRECTORY | O_CLOEXEC));
   return folder.get() >= 0 && fsync(folder.get()) == 0;
 }
 
--- a/src/net/wakeup.h
+++ b/src/net/wakeup.h
@@ -13,7 +13,7 @@
  public:
   Wakeup(Loop& loop, std::function<void()> called) : handle_(new Handle{{}, std::move(called)}) {
     uv_async_init(loop.raw(), &handle_->async, [](uv_async_t* async) {
-      const auto& called_now = static_cast<Handle*>(async->data)->called;
+      const std::function<void()> called_now = static_cast<Handle*>(async->data)->called;  // may destroy it
       if (called_now) called_now();
     });
     handle_->async.data = handle_;
--- a/src/node/config_fleet.cpp
+++ b/src/node/config_fleet.cpp
@@ -2,7 +2,6 @@
 #include <fmt/format.h>
 
 #include <algorithm>
-#include <cmath>
 #include <nlohmann/json.hpp>
 #include <set>
 
@@ -36,8 +35,8 @@
   return net::ParseAddress(text, address) && !text.ends_with(":0");
 }
 
-template <typename Say>
-void CheckSites(const config::Effective& e, const Say& say) {
+void CheckSites(config::Effective& e) {
+  const auto say = [&](const std::string& path, const std::string& what) { Say(e, path, what); };
   std::set<std::string> of_peers, named, zones;
   for (std::size_t i = 0; i < Tables(e.merged, "operator.peers"); ++i)
     of_peers.insert(TextAt(e.merged, "operator.peers[].site", i, "main"));
@@ -61,11 +60,7 @@
 
 void CheckFleet(config::Effective& e) {
   const json& whole = e.merged;
-  const auto say = [&](const std::string& path, const std::string& what) {
-    const auto it = e.operators.places.find(path);
-    e.faults.push_back(
-        {e.operators_name, it == e.operators.places.end() ? config::Place{} : it->second, path, what});
-  };
+  const auto say = [&](const std::string& path, const std::string& what) { Say(e, path, what); };
   std::set<std::string> names, addresses;
   bool any_votes = false;
   const std::string own = TextAt(whole, "name", 0, "");
@@ -89,8 +84,8 @@
   if (!names.contains(own))
     say("fleet.listen", fmt::format("is given, but no [[peers]] has this node's name, \"{}\"", own));
   if (!any_votes) say("fleet.listen", "is given, but no [[peers]] votes: no lease could ever be given");
-  CheckSites(e, say);
-  const auto number = [&](const char* told) { return config::At(whole, told, 0)->get<double>(); };
+  CheckSites(e);
+  const auto number = [&](const char* told) { return NumberAt(whole, told); };
   const double timeout = number("operator.fleet.probe_timeout");
   if (timeout >= number("operator.fleet.probe_every"))
     say("fleet.probe_timeout", "is no shorter than fleet.probe_every: others could not be asked in time");
@@ -101,8 +96,8 @@
 }
 
 void ReadFleet(const json& whole, FleetConfig& fleet) {
-  const auto number = [&](const char* told) { return config::At(whole, told, 0)->get<double>(); };
-  const auto time = [&](const char* told) { return Micros(std::llround(number(told) * 1000)); };
+  const auto number = [&](const char* told) { return NumberAt(whole, told); };
+  const auto time = [&](const char* told) { return TimeAt(whole, told); };
   fleet.listen = TextAt(whole, "operator.fleet.listen", 0, "");
   fleet.pace.probe_every = time("operator.fleet.probe_every");
   fleet.pace.probe_timeout = time("operator.fleet.probe_timeout");
--- a/src/node/config_operators.cpp
+++ b/src/node/config_operators.cpp
@@ -12,10 +12,22 @@
 
 using nlohmann::json;
 
+void Say(config::Effective& e, const std::string& path, const std::string& what) {
+  const auto it = e.operators.places.find(path);
+  e.faults.push_back(
+      {e.operators_name, it == e.operators.places.end() ? config::Place{} : it->second, path, what});
+}
+
+double NumberAt(const json& whole, const char* told) { return config::At(whole, told, 0)->get<double>(); }
+
+Micros TimeAt(const json& whole, const char* told) {
+  return Micros(std::llround(NumberAt(whole, told) * 1000));
+}
+
 void ReadOperators(const json& whole, Config& config) {
   const auto text = [&](const char* at) { return config::At(whole, at, 0)->get<std::string>(); };
-  const auto number = [&](const char* at) { return config::At(whole, at, 0)->get<double>(); };
-  const auto time = [&](const char* at) { return Micros(std::llround(number(at) * 1000)); };
+  const auto number = [&](const char* at) { return NumberAt(whole, at); };
+  const auto time = [&](const char* at) { return TimeAt(whole, at); };
   config.has_operators_file = true;
   config.client_connections = static_cast<std::size_t>(number("operator.limits.client_connections"));
   config.client_memory_share = number("operator.limits.client_memory_share");
@@ -34,11 +46,7 @@
 }
 
 void CheckWhole(config::Effective& e) {
-  const auto say = [&](const char* path, const std::string& what) {
-    const auto it = e.operators.places.find(path);
-    e.faults.push_back(
-        {e.operators_name, it == e.operators.places.end() ? config::Place{} : it->second, path, what});
-  };
+  const auto say = [&](const char* path, const std::string& what) { Say(e, path, what); };
   for (const char* path : {"node.name", "node.listen", "node.discovery", "node.state"}) {
     const config::Item& item = *config::Find(path);
     const json* value = config::At(e.merged, item.told, 0);
--- a/src/node/config_read.h
+++ b/src/node/config_read.h
@@ -18,6 +18,13 @@
 // seed, where it has none.
 void CheckWhole(config::Effective& effective);
 
+// A fault at a path of the operator's file, with its place there.
+void Say(config::Effective& effective, const std::string& path, const std::string& what);
+
+// A number, and a duration, that the schema has checked and given its default.
+double NumberAt(const nlohmann::json& whole, const char* told);
+Micros TimeAt(const nlohmann::json& whole, const char* told);
+
 // The operator's own part, which its file alone can give; the schema has checked it.
 void ReadOperators(const nlohmann::json& whole, Config& config);
 
--- a/src/node/journal_file.cpp
+++ b/src/node/journal_file.cpp
@@ -11,20 +11,11 @@
 #include <cstring>
 #include <utility>
 
+#include "base/descriptor.h"
+
 namespace indigosaddle::node {
-namespace {
-
-bool WriteAll(int descriptor, std::string_view bytes) {
-  while (!bytes.empty()) {
-    const ssize_t wrote = write(descriptor, bytes.data(), bytes.size());
-    if (wrote < 0 && errno == EINTR) continue;
-    if (wrote <= 0) return false;
-    bytes.remove_prefix(static_cast<std::size_t>(wrote));
-  }
-  return true;
-}
 
-}  // namespace
+using base::WriteAll;
 
 JournalFile::JournalFile(std::string folder)
     : folder_(std::move(folder)),
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -117,6 +117,7 @@
   void StartReports();
   bool StartFleet();         // false: it can't, and has said why; true where none is asked for too
   Settings InForce() const;  // the configured ones, with what the fleet has agreed
+  void PushSettings();
   void OnFleet();
   void TellFleet();
   nlohmann::json Status() const;
--- a/src/node/node_fleet.cpp
+++ b/src/node/node_fleet.cpp
@@ -42,12 +42,18 @@
     turn_due_ = true;
   }
   if (!config_.fleet.count_senders) return;
-  const Settings settings = InForce();
-  if (settings.senders == senders_in_force_) return;
+  if (const int senders = InForce().senders; senders != senders_in_force_) {
+    log_.Write(base::kFleetSenders, static_cast<std::uint64_t>(senders));
+    PushSettings();
+  }
+}
+
+// What is in force, for the next turn.
+void Node::PushSettings() {
+  Settings settings = InForce();
   senders_in_force_ = settings.senders;
-  log_.Write(base::kFleetSenders, static_cast<std::uint64_t>(settings.senders));
-  Push(state::SettingsChanged{settings, static_cast<std::size_t>(std::max(0, settings.max_open)),
-                              config_.classes, config_.tenants});
+  const auto most_open = static_cast<std::size_t>(std::max(0, settings.max_open));
+  Push(state::SettingsChanged{std::move(settings), most_open, config_.classes, config_.tenants});
 }
 
 void Node::TellFleet() {
--- a/src/node/node_operations.cpp
+++ b/src/node/node_operations.cpp
@@ -42,8 +42,7 @@
     log_.Write(base::kDiscoveryMoved, from, config_.discovery);
     MoveDiscovery();
   }
-  Push(state::SettingsChanged{InForce(), static_cast<std::size_t>(std::max(0, config_.settings.max_open)),
-                              config_.classes, config_.tenants});
+  PushSettings();
   RunTurn();
 }
 
