--- a/tests/fleet/world.h
+++ b/tests/fleet/world.h
@@ -11,21 +11,13 @@
 #include <random>
 #include <set>
 #include <string>
-#include <utility>
 #include <vector>
 
 #include "fleet/fleet.h"
+#include "network.h"
 
 namespace indigosaddle::fleet::testing {
 
-using std::chrono::milliseconds;
-using std::chrono::seconds;
-
-struct Network {
-  double loss = 0, doubled = 0;
-  Micros least{milliseconds(1)}, most{milliseconds(5)};
-};
-
 class World {
  public:
   // Member i stands at site i % sites; the first `voters` vote.
