--- /dev/null
+++ b/tests/net_discovery_test.cpp
@@ -0,0 +1,151 @@
+// When discovery is asked again, and what of its lists is read. No sockets.
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <map>
+#include <random>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+#include "net/backoff.h"
+#include "net/discovery.h"
+
+namespace indigosaddle::net {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+TEST(Backoff, WaitsAreDrawnBelowACeilingThatDoublesUpToTheMost) {
+  Backoff backoff(milliseconds(100), milliseconds(1000), 7);
+  for (int round = 0; round < 2; ++round, backoff.Reset())
+    for (const int ceiling : {200, 400, 800, 1000, 1000, 1000}) {
+      const Micros wait = backoff.Next();
+      EXPECT_GE(wait, milliseconds(100));
+      EXPECT_LE(wait, milliseconds(ceiling));
+    }
+}
+
+TEST(Backoff, ASeedRepeatsItsWaitsAndAnotherDrawsOthers) {
+  Backoff one(milliseconds(100), milliseconds(9000), 1), same(milliseconds(100), milliseconds(9000), 1),
+      other(milliseconds(100), milliseconds(9000), 2);
+  int differ = 0;
+  for (int i = 0; i < 20; ++i) {
+    const Micros wait = one.Next();
+    EXPECT_EQ(wait, same.Next());
+    differ += wait != other.Next() ? 1 : 0;
+  }
+  EXPECT_GE(differ, 19);
+}
+
+TEST(AskPace, FewNodesAskAsOneAndRequestsThatCostNothingAreNotSpread) {
+  for (const int senders : {0, 1, 3, 1000}) {
+    const AskPace free = PaceOfAsking(senders, Micros(0));
+    EXPECT_EQ(free.spread, Micros(0));
+    EXPECT_EQ(free.least, milliseconds(100));
+    EXPECT_EQ(free.most, milliseconds(1000));
+  }
+  const AskPace few = PaceOfAsking(3, seconds(10));
+  EXPECT_EQ(few.spread, milliseconds(150));
+  EXPECT_EQ(few.least, milliseconds(300));
+  EXPECT_EQ(few.most, milliseconds(1000));
+}
+
+// Whatever the fleet, a node has asked again before a refusal counts as told: four times must_ask_in.
+TEST(AskPace, TheWaitStaysWithinWhatTheRuleAllows) {
+  for (const int senders : {1, 10, 100, 1000, 100000}) {
+    const AskPace pace = PaceOfAsking(senders, seconds(10));
+    EXPECT_LE(pace.spread, seconds(5));
+    EXPECT_LE(pace.most, seconds(20));
+  }
+}
+
+// Asked at once by all, discovery refuses all; 100 nodes that came back after 0.1 to 1 s kept it refusing for
+// half a minute (70 requests a second). Spread over 5 s, 100 first requests make 2 in 100 ms on average; in
+// 50 bins more than 9 are met once in 10,000 draws (Poisson). Repeats come after 10 to 20 s: under 10 a
+// second.
+TEST(AskPace, AHundredNodesThatStartInOneInstantDoNotAskInOne) {
+  const AskPace pace = PaceOfAsking(100, seconds(10));
+  std::map<std::int64_t, int> first, repeats;  // by 100 ms, by second
+  for (std::uint64_t seed = 0; seed < 100; ++seed) {
+    Backoff backoff(pace.least, pace.most, seed);
+    Micros at = backoff.Within(pace.spread);
+    ++first[at / milliseconds(100)];
+    while ((at += backoff.Next()) < seconds(100)) ++repeats[at / seconds(1)];
+  }
+  for (const auto& [bin, requests] : first) EXPECT_LE(requests, 9) << bin;
+  int all = 0;
+  for (const auto& [second, requests] : repeats) {
+    EXPECT_LE(requests, 25) << second;
+    all += requests;
+  }
+  EXPECT_LE(all, 1000);
+  EXPECT_GE(all, 400);
+}
+
+const std::string kGood =
+    R"({"host":"s-1","dial":"127.0.0.1:9","site":"a","class":"m2","block":3,"health":"Ready","share":1.0,"born_ms":0})";
+
+std::string List(const std::string& hosts) { return R"({"seq":41,"whole":true,"hosts":[)" + hosts + "]}"; }
+
+TEST(Members, AGoodListIsReadWhole) {
+  const auto news = ParseMembers(List(kGood));
+  ASSERT_TRUE(news);
+  EXPECT_EQ(news->version, 41u);
+  EXPECT_TRUE(news->whole);
+  ASSERT_EQ(news->members.size(), 1u);
+  EXPECT_EQ(news->members[0].dial, "127.0.0.1:9");
+  EXPECT_EQ(news->members[0].kind, "m2");
+  EXPECT_EQ(news->members[0].block, 3u);
+  EXPECT_EQ(news->members[0].health, Health::kReady);
+}
+
+TEST(Members, BadEntriesAreSkippedAndTheRestUsed) {
+  for (const std::string bad :
+       {R"(7)", R"({})", R"({"host":"x","dial":"nowhere","block":3,"health":"Ready"})",
+        R"({"host":"x","dial":"127.0.0.1:1","block":-3,"health":"Ready"})",
+        R"({"host":"x","dial":"127.0.0.1:1","block":"3","health":"Ready"})",
+        R"({"host":"x","dial":"127.0.0.1:1","block":3,"health":"Fine"})",
+        R"({"host":"a\r\nb","dial":"127.0.0.1:1","block":3,"health":"Ready"})",
+        R"({"host":5,"dial":"127.0.0.1:1","block":3,"health":"Ready"})"}) {
+    const auto news = ParseMembers(List(bad + "," + kGood));
+    ASSERT_TRUE(news) << bad;
+    EXPECT_EQ(news->members.size(), 1u) << bad;
+    EXPECT_EQ(news->skipped.size(), 1u) << bad;
+  }
+}
+
+TEST(Members, NamedTwiceTheCarefulReadingHolds) {
+  std::string draining = kGood;
+  draining.replace(draining.find("Ready"), 5, "Terminating");
+  const auto news = ParseMembers(List(kGood + "," + draining));
+  ASSERT_TRUE(news);
+  ASSERT_EQ(news->members.size(), 1u);
+  EXPECT_EQ(news->members[0].health, Health::kTerminating);
+}
+
+TEST(Members, WhatIsNoListIsNone) {
+  for (const std::string bad : {"", "[]", "{}", "{\"seq\":1}", R"({"seq":-1,"whole":true,"hosts":[]})",
+                                R"({"seq":1,"whole":1,"hosts":[]})", R"({"seq":1,"whole":true,"hosts":{}})",
+                                R"({"seq":1,"whole":true,"hosts":[)"}) {
+    EXPECT_FALSE(ParseMembers(bad)) << bad;
+  }
+}
+
+TEST(Members, SeededMutationsNeverCrash) {
+  std::mt19937 random(17);
+  const std::string whole = List(kGood);
+  int read = 0;
+  for (int round = 0; round < 5000; ++round) {
+    std::string bad = whole;
+    for (int i = 0; i < 2; ++i) bad[random() % bad.size()] = static_cast<char>(random());
+    read += ParseMembers(bad).has_value() ? 1 : 0;
+  }
+  EXPECT_GT(read, 0);
+  EXPECT_LT(read, 5000);
+}
+
+}  // namespace
+}  // namespace indigosaddle::net
