--- a/src/brain.h
+++ b/src/brain.h
@@ -151,7 +151,7 @@
   virtual void OnOutcome(const Outcome& outcome) = 0;
   virtual void OnWithdrawn(MessageId id) = 0;
   virtual void OnAnswerTold(MessageId id) = 0;  // a final answer that was on its way has arrived
-  virtual void OnStop(Micros at) = 0;  // the process ends then; what is held is resumed after it
+  virtual void OnStop(Micros at) = 0;           // the process ends then; what is held is resumed after it
   virtual void OnZoneUnsure(
       int zone) = 0;  // agreed with other senders: endpoints there may have gone down unseen
   // In force from this turn on, for what is held as well. Classes and tenants keep their numbers, new ones
--- a/tests/crowd.h
+++ b/tests/crowd.h
@@ -19,7 +19,10 @@
   double depth = 0.7, debt = 0.6;  // seconds of it saved and owed at the most
   double lowered = 1;              // share of the rate from low_from to low_to
   Micros low_from{0}, low_to{0};
-  Micros down{0}, up{0};  // connects fail
+  Micros down{0}, up{0};                                              // an outage, as `how` says
+  enum class How { kDown, kHung, kShut, kFailing } how = How::kDown;  // failing: nine calls of ten
+  double uneven =
+      0;  // the busiest sender has (1 + uneven) times an even part of the demand, the least 1 - uneven
 };
 
 class Crowd {
@@ -28,10 +31,11 @@
     int served = 0, refused = 0, failed = 0;
   };
 
-  Crowd(int nodes, Settings settings, CrowdLimit limit) : limit_(limit), level_(limit.rate * limit.depth) {
+  Crowd(int nodes, Settings settings, CrowdLimit limit, std::uint64_t seed = 12345)
+      : limit_(limit), level_(limit.rate * limit.depth), random_(seed) {
     settings.senders = nodes;
     for (int i = 0; i < nodes; ++i) {
-      settings.seed = static_cast<std::uint64_t>(i) + 1;
+      settings.seed = static_cast<std::uint64_t>(i) + 1 + (seed - 12345) * 1000;
       nodes_.push_back({std::make_unique<TestNode>(settings), {}, 0});
       nodes_.back().node->Turn(Micros(0), [&] { nodes_.back().node->List({TestNode::At(7, "a")}); });
     }
@@ -68,7 +72,9 @@
 
   void Step(Member& member, double demand) {
     TestNode& node = *member.node;
-    const double chance = demand / static_cast<double>(nodes_.size()) * kStepSeconds;
+    const auto count = static_cast<double>(nodes_.size());
+    const double place = count > 1 ? 2 * static_cast<double>(&member - nodes_.data()) / (count - 1) - 1 : 0;
+    const double chance = demand / count * (1 + limit_.uneven * place) * kStepSeconds;
     node.Turn(now_, [&] {
       while (!member.due.empty() && member.due.begin()->first <= now_) {
         const auto [id, reply] = member.due.begin()->second;
@@ -77,13 +83,27 @@
       }
       if (std::generate_canonical<double, 53>(random_) < chance) node.Take(++id_, 7, seconds(12));
     });
-    for (; member.seen < node.sends.size(); ++member.seen)
-      member.due.emplace(now_ + kAnswer, std::pair(node.sends[member.seen].id, Arrive()));
+    for (; member.seen < node.sends.size(); ++member.seen) {
+      const Sent& sent = node.sends[member.seen];
+      const Reply reply = Arrive();
+      const Micros after = reply.result == Result::kTimeout ? sent.timeout : kAnswer;
+      member.due.emplace(now_ + after, std::pair(sent.id, reply));
+    }
   }
 
   Reply Arrive() {
     Bin& bin = bins_[now_ / kBin];
-    if (now_ >= limit_.down && now_ < limit_.up) return ++bin.failed, Reply{Result::kNoConnection};
+    if (now_ >= limit_.down && now_ < limit_.up) {
+      using How = CrowdLimit::How;
+      const bool spared = limit_.how == How::kFailing && std::generate_canonical<double, 53>(random_) < 0.1;
+      if (!spared) {
+        ++bin.failed;
+        return Reply{limit_.how == How::kDown   ? Result::kNoConnection
+                     : limit_.how == How::kHung ? Result::kTimeout
+                     : limit_.how == How::kShut ? Result::kFull
+                                                : Result::kError};
+      }
+    }
     const bool ok = level_ >= 1;
     level_ = std::max(level_ - 1, -Rate() * limit_.debt);
     ok ? ++bin.served : ++bin.refused;
@@ -97,7 +117,7 @@
   MessageId id_ = 0;
   std::vector<Member> nodes_;
   std::map<std::int64_t, Bin> bins_;
-  std::mt19937_64 random_{12345};
+  std::mt19937_64 random_;
 };
 
 }  // namespace indigosaddle::testing
--- a/tests/platform_stand_in.h
+++ b/tests/platform_stand_in.h
@@ -76,6 +76,7 @@
   void RefuseLists(int status) { list_status_ = status; }  // 200: no more
   int refused_lists() const { return refused_lists_; }
   void RefuseNotices(int status) { notice_status_ = status; }
+  void IgnoreNotices(int posts) { ignored_notices_ = posts; }  // the next ones are read and never answered
   std::map<std::string, std::vector<nlohmann::json>> notices() {
     const std::lock_guard lock(mutex_);
     return notices_;
@@ -98,6 +99,7 @@
   bool Serve(Socket& socket, const HttpRequest& request) {
     if (request.line.starts_with("POST /v1/notices ")) {
       ++notice_posts_;
+      if (ignored_notices_ > 0) return --ignored_notices_, true;
       if (notice_status_ != 204) return socket.Write(Answer(notice_status_));
       std::istringstream lines(request.body);
       const std::lock_guard lock(mutex_);
@@ -152,7 +154,7 @@
   int generation_ = 0;
   std::atomic<bool> closing_{false};
   std::atomic<int> watches_{0}, whole_lists_{0}, notice_posts_{0}, notice_status_{204}, list_status_{200},
-      refused_lists_{0};
+      refused_lists_{0}, ignored_notices_{0};
   HttpServer server_;
 };
 
