--- a/tests/node_endings_test.cpp
+++ b/tests/node_endings_test.cpp
@@ -146,7 +146,7 @@
 // Idle clients take every place while discovery is down, at a process that has far fewer descriptors than its
 // configuration says. The list, calls and notices have theirs all the same.
 TEST_F(NodeEndings, IdleClientsTakeNoDescriptorFromTheListNorFromCalls) {
-  EndpointStandIn endpoint, hung([](Socket& s, const HttpRequest&, int) { return Hang(s); });
+  EndpointStandIn endpoint, hung([](Socket&s, const HttpRequest&, int) { return Hang(s); });
   platform.Set(PlatformStandIn::Member("s-1", endpoint.address(), 7));
   platform.Set(PlatformStandIn::Member("s-2", hung.address(), 8));
   platform.Down(true);
