--- a/tests/net_list_paths_test.cpp
+++ b/tests/net_list_paths_test.cpp
@@ -46,7 +46,7 @@
       if (watch == bad_watch && !played_.exchange(true)) {
         began_ = Clock::now();
         bad(socket);
-        return true;  // the connection stays open
+        return socket.open();  // it stays so where it was not reset
       }
       if (watch) {
         socket.Write(kHead + Chunk(Line(50)));
