One set of settings for the crowd's tests

brain_crowd_return_test.cpp wrote OfCrowd of brain_crowd_test.cpp again, value by value; it stands in crowd.h now. No value and no assertion changed.

--- a/tests/brain_crowd_return_test.cpp
+++ b/tests/brain_crowd_return_test.cpp
@@ -23,14 +23,7 @@
 // of 100 ms, on several seeds, stays within that.
 TEST_P(CrowdReturn, TheSumOfAllSendersStaysWithinTheBudgetAndChance) {
   const auto [nodes, how, uneven] = GetParam();
-  Settings s = BaseSettings();
-  s.call_slots = 6;
-  s.max_open = 60;
-  s.max_attempts = 12;
-  s.classes[0].aim = milliseconds(2500);
-  s.classes[0].deadline = s.classes[0].key_ttl = seconds(12);
-  s.cold = seconds(14);
-  s.cold_from = 0.23;
+  const Settings s = OfCrowd();
   CrowdLimit limit;
   limit.rate = std::max(20.0, static_cast<double>(nodes));
   limit.down = seconds(5), limit.up = seconds(12);
--- a/tests/brain_crowd_test.cpp
+++ b/tests/brain_crowd_test.cpp
@@ -12,18 +12,6 @@
 
 constexpr int kNodes = 100;
 
-Settings OfCrowd() {
-  Settings s = BaseSettings();
-  s.call_slots = 6;
-  s.max_open = 60;
-  s.max_attempts = 12;
-  s.classes[0].aim = milliseconds(2500);
-  s.classes[0].deadline = s.classes[0].key_ttl = seconds(12);
-  s.cold = seconds(14);
-  s.cold_from = 0.23;
-  return s;
-}
-
 // Open buckets find a limit of 40 by one refusal each: they leave a debt of 0.6 s at the least rates of all,
 // half of the limit, paid in 1.2 s; a refused node comes back 0.5 to 1.5 tokens later, at 0.2 a second. So
 // within 6 s of the first refusals what is served is again more than what is refused, and a third of what the
--- a/tests/crowd.h
+++ b/tests/crowd.h
@@ -13,6 +13,19 @@
 
 namespace indigosaddle::testing {
 
+// Settings of a large fleet's node: few slots, short deadlines, a long cold time.
+inline Settings OfCrowd() {
+  Settings s = BaseSettings();
+  s.call_slots = 6;
+  s.max_open = 60;
+  s.max_attempts = 12;
+  s.classes[0].aim = milliseconds(2500);
+  s.classes[0].deadline = s.classes[0].key_ttl = seconds(12);
+  s.cold = seconds(14);
+  s.cold_from = 0.23;
+  return s;
+}
+
 // A limit that refused calls use up as well, down to a debt; with an outage, if any.
 struct CrowdLimit {
   double rate = 40;                // calls a second
