A watch's bytes written once for both tests of the list

net_list_paths_test.cpp wrote Chunk and the watch's head of net_silence_test.cpp again; both take them from watch_bytes.h. No assertion and no byte changed.

--- a/tests/net_list_paths_test.cpp
+++ b/tests/net_list_paths_test.cpp
@@ -10,6 +10,7 @@
 #include "net/discovery.h"
 #include "net/list_clock.h"
 #include "stand_ins.h"
+#include "watch_bytes.h"
 
 namespace indigosaddle::testing {
 namespace {
@@ -17,13 +18,6 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
-const std::string kHead = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
-
-std::string Chunk(const std::string& bytes) {
-  char length[16];
-  std::snprintf(length, sizeof length, "%zx\r\n", bytes.size());
-  return length + bytes + "\r\n";
-}
 std::string Line(int version) {
   return "{\"seq\":" + std::to_string(version) + ",\"whole\":false,\"hosts\":[]}\n";
 }
@@ -49,7 +43,7 @@
         return socket.open();  // it stays so where it was not reset
       }
       if (watch) {
-        socket.Write(kHead + Chunk(Line(50)));
+        socket.Write(kWatchHead + Chunk(Line(50)));
       } else {
         socket.Write(Whole(41));
       }
@@ -100,13 +94,13 @@
 }
 
 TEST_F(ListPaths, AWatchWithAHeadAndNoLine) {
-  EXPECT_LT(UntilTheNextNews(true, [](Socket& s) { s.Write(kHead); }), kBound);
+  EXPECT_LT(UntilTheNextNews(true, [](Socket& s) { s.Write(kWatchHead); }), kBound);
 }
 
 // Bytes that complete nothing are no sign of life, however steadily they come.
 TEST_F(ListPaths, ALineThatTricklesByteByByte) {
   const auto took = UntilTheNextNews(true, [](Socket& s) {
-    s.Write(kHead);
+    s.Write(kWatchHead);
     const std::string line = Line(42);
     for (std::size_t i = 0; i < 40; ++i) {
       if (!s.Write(Chunk(line.substr(i % (line.size() - 1), 1)))) return;
@@ -130,7 +124,7 @@
 // Lines of an object that has begun complete nothing either.
 TEST_F(ListPaths, AnIndentedObjectThatNeverEnds) {
   const auto took = UntilTheNextNews(true, [](Socket& s) {
-    s.Write(kHead + Chunk("{\n"));
+    s.Write(kWatchHead + Chunk("{\n"));
     for (int i = 0; i < 40; ++i) {
       if (!s.Write(Chunk("  \n"))) return;
       std::this_thread::sleep_for(milliseconds(250));
@@ -157,7 +151,8 @@
 // anew.
 TEST_F(ListPaths, AnIndentedChangeIsRead) {
   const auto took = UntilTheNextNews(true, [](Socket& s) {
-    s.Write(kHead + Chunk("{\n  \"seq\": 42,\n  \"whole\": false,\n") + Chunk("  \"hosts\": [\n  ]\n}\n"));
+    s.Write(kWatchHead + Chunk("{\n  \"seq\": 42,\n  \"whole\": false,\n") +
+            Chunk("  \"hosts\": [\n  ]\n}\n"));
   });
   EXPECT_LT(took, seconds(1));
 }
--- a/tests/net_silence_test.cpp
+++ b/tests/net_silence_test.cpp
@@ -10,6 +10,7 @@
 
 #include "net/discovery.h"
 #include "stand_ins.h"
+#include "watch_bytes.h"
 
 namespace indigosaddle::testing {
 namespace {
@@ -20,12 +21,6 @@
 constexpr milliseconds kToldAfter(6000);
 constexpr milliseconds kRoomForAnswer(750);
 
-std::string Chunk(const std::string& bytes) {
-  char length[16];
-  std::snprintf(length, sizeof length, "%zx\r\n", bytes.size());
-  return length + bytes + "\r\n";
-}
-
 // Plays a whole list, indented and a few bytes at a time, then a first watch that `first` plays and that
 // falls silent after it; notes when it did and when the next watch came.
 class SilentWatch : public ::testing::Test, private net::Discovery::Handler {
@@ -52,7 +47,7 @@
         silent_from_ = Clock::now();
       } else {
         again_ = Clock::now();
-        socket.Write("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + Chunk("\n"));
+        socket.Write(kWatchHead + Chunk("\n"));
       }
       return true;  // the connection stays open
     });
@@ -81,11 +76,9 @@
   Clock::time_point silent_from_, again_, end_ = Clock::now() + seconds(30);
 };
 
-const std::string kHead = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
-
 TEST_F(SilentWatch, AfterAWhileOfLines) {
   const auto took = SilenceUntilTheNext([](Socket& socket) {
-    socket.Write(kHead);
+    socket.Write(kWatchHead);
     for (int i = 0; i < 3; ++i) {
       socket.Write(Chunk("\n"));
       std::this_thread::sleep_for(milliseconds(100));
@@ -104,7 +97,7 @@
     const std::string line =
         "{\"seq\":42,\"whole\":false,\"hosts\":[{\"host\":\"h1\",\"block\":7,\"health\":\"Gone\"}]}\n";
     const std::string chunk = Chunk(line);
-    socket.Write(kHead + chunk.substr(0, chunk.size() / 2));
+    socket.Write(kWatchHead + chunk.substr(0, chunk.size() / 2));
   });
   EXPECT_LT(took, kToldAfter - kRoomForAnswer);
 }
