Two timers of a call due in one pass no longer crash the node; the list's clock holds two failures

Cause, followed in a traced trial: the call's time and the patience with its answer fell due in one pass of the loop. Ruled out: a read after the close (no callback comes), a double end (Finished drops it).

The list: a standing watch counts as silent after 3.1 s (3.5), a request has 1.2 s for its answer's head at first, doubling to 3 s (3 s at once), and pauses start anew with any whole line.

A call tells its time from its first byte on: a late connection has used up a part (CallEndings.WhatACall...).

'Read before giving up' stood three times and is net::ReadFirst now.

--- /dev/null
+++ b/src/net/call_format.cpp
@@ -0,0 +1,54 @@
+#include "net/call_format.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <charconv>
+#include <chrono>
+#include <cmath>
+
+namespace indigosaddle::net {
+namespace {
+
+constexpr double kMostReported = 1e9;  // of a load report's figures: more is rubbish
+
+}  // namespace
+
+std::optional<double> ParseNumber(std::string_view text) {
+  while (!text.empty() && text.front() == ' ') text.remove_prefix(1);
+  while (!text.empty() && text.back() == ' ') text.remove_suffix(1);
+  double value = 0;
+  const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), value);
+  if (error != std::errc() || end != text.data() + text.size() || !std::isfinite(value)) return std::nullopt;
+  return value;
+}
+
+std::string FormatCall(const CallRequest& request) {
+  std::string text =
+      fmt::format("POST /hook HTTP/1.1\r\nHost: {}\r\nX-Trace-Id: {}\r\n", request.host, request.id);
+  if (!request.idempotency_key.empty())
+    text += fmt::format("Idempotency-Key: {}\r\n", request.idempotency_key);
+  const auto millis =
+      std::max<std::int64_t>(1, std::chrono::ceil<std::chrono::milliseconds>(request.timeout).count());
+  text += fmt::format("X-Expires-In: {}m\r\nContent-Length: {}\r\n\r\n", millis, request.body.size());
+  return text += request.body;
+}
+
+LoadReport ParseLoad(std::string_view text) {
+  LoadReport report;
+  while (!text.empty()) {
+    const std::size_t comma = text.find(',');
+    std::string_view pair = text.substr(0, comma);
+    text.remove_prefix(comma == std::string_view::npos ? text.size() : comma + 1);
+    while (!pair.empty() && pair.front() == ' ') pair.remove_prefix(1);
+    const std::size_t equals = pair.find('=');
+    if (equals == std::string_view::npos) return {};
+    const auto value = ParseNumber(pair.substr(equals + 1));
+    if (!value || *value < 0 || *value > kMostReported) return {};
+    if (pair.substr(0, equals) == "x0") report.left = *value;
+    if (pair.substr(0, equals) == "x1") report.limit = *value;
+  }
+  return report;
+}
+
+}  // namespace indigosaddle::net
--- a/src/net/call_pool.h
+++ b/src/net/call_pool.h
@@ -10,17 +10,12 @@
 #include <vector>
 
 #include "brain.h"
+#include "net/call_format.h"
 #include "net/loop.h"
 #include "state/ending.h"
 
 namespace indigosaddle::net {
 
-struct CallRequest {
-  std::uint64_t serial = 0;
-  std::string dial, host, id, idempotency_key, body;
-  Micros timeout{0};
-};
-
 struct CallResult {
   std::uint64_t serial = 0;
   state::Ending ending = state::Ending::kNotStarted;
@@ -79,7 +74,4 @@
   Timer sweep_, bury_;
 };
 
-std::string FormatCall(const CallRequest& request);
-LoadReport ParseLoad(std::string_view text);
-
 }  // namespace indigosaddle::net
--- a/src/net/discovery.cpp
+++ b/src/net/discovery.cpp
@@ -4,96 +4,23 @@
 
 #include <algorithm>
 #include <limits>
-#include <nlohmann/json.hpp>
-#include <set>
 #include <utility>
 
 namespace indigosaddle::net {
 namespace {
 
-using nlohmann::json;
-
 constexpr std::size_t kMostText = std::size_t{8} * 1024 * 1024;  // of one list or line
 // What discovery has to tell counts as told 6 s after it had it and could be reached, whatever went before. A
 // line comes every 2 s; a watch without one is broken, and its next request has these bounds of its own.
 // docs/design/005-endings.md adds them up for each way in which an answer fails to come.
-constexpr Micros kSilent = std::chrono::milliseconds(3500);
-constexpr Micros kConnect = std::chrono::milliseconds(1500);  // until its connection is up
-constexpr Micros kFirstAnswer = std::chrono::seconds(3);      // from asking to the first whole line or list
-// The loop's timers come before its reads: a node that was held up reads first.
-constexpr Micros kReadFirst = std::chrono::milliseconds(1);
-const AskPace kAlone = PaceOfAsking(1, Micros(0));  // where waiting spares discovery nothing
-
-std::string Text(const json& entry, const char* name) {
-  const auto it = entry.find(name);
-  return it != entry.end() && it->is_string() ? it->get<std::string>() : std::string();
-}
-
-// Empty where the entry is good, else what is wrong with it.
-std::string ReadMember(const json& entry, Member& member) {
-  if (!entry.is_object()) return "not an object";
-  member.host = Text(entry, "host");
-  member.dial = Text(entry, "dial");
-  member.site = Text(entry, "site");
-  member.kind = Text(entry, "class");
-  if (member.host.empty()) return "no host";
-  const auto visible = [](unsigned char c) { return c > ' ' && c < 0x7f; };  // it goes on as a header's value
-  if (!std::all_of(member.host.begin(), member.host.end(), visible))
-    return "a host that is not visible ASCII";
-  const auto block = entry.find("block");
-  if (block == entry.end() || !block->is_number_integer() || (!block->is_number_unsigned() && *block < 0)) {
-    return "no block";
-  }
-  member.block = block->get<std::uint64_t>();
-  const auto share = entry.find("share");
-  if (share != entry.end() && share->is_number()) member.share = std::max(0.0, share->get<double>());
-  const std::string health = Text(entry, "health");
-  if (health == "Ready") {
-    member.health = Health::kReady;
-  } else if (health == "Terminating") {
-    member.health = Health::kTerminating;
-  } else if (health == "Gone") {
-    member.health = Health::kGone;
-  } else {
-    return "unknown health";
-  }
-  sockaddr_storage address{};
-  if (member.health != Health::kGone && !ParseAddress(member.dial, address)) return "no address to dial";
-  return {};
-}
+constexpr Micros kSilent = std::chrono::milliseconds(3100);     // a standing watch, since its last whole line
+constexpr Micros kPatience = std::chrono::milliseconds(1200);   // from asking to the answer's head, at first
+constexpr Micros kMostPatience = std::chrono::seconds(3);       // and after requests that were not answered
+constexpr Micros kFirstLine = std::chrono::milliseconds(2600);  // from asking to the first whole line or list
+const AskPace kAlone = PaceOfAsking(1, Micros(0));              // where waiting spares discovery nothing
 
 }  // namespace
 
-std::optional<MemberNews> ParseMembers(std::string_view text) {
-  const json whole = json::parse(text, nullptr, false);
-  if (!whole.is_object()) return std::nullopt;
-  const auto version = whole.find("seq"), full = whole.find("whole"), hosts = whole.find("hosts");
-  if (version == whole.end() || !version->is_number_unsigned()) return std::nullopt;
-  if (full == whole.end() || !full->is_boolean()) return std::nullopt;
-  if (hosts == whole.end() || !hosts->is_array()) return std::nullopt;
-  MemberNews news;
-  news.version = version->get<std::uint64_t>();
-  news.whole = full->get<bool>();
-  std::set<std::string> seen;
-  for (const json& entry : *hosts) {
-    Member member;
-    std::string trouble = ReadMember(entry, member);
-    if (trouble.empty() && !seen.insert(member.host).second) {
-      // Named twice: where the two differ, the careful reading holds.
-      trouble = "named twice";
-      for (Member& first : news.members) {
-        if (first.host == member.host) first.health = std::max(first.health, member.health);
-      }
-    }
-    if (trouble.empty()) {
-      news.members.push_back(std::move(member));
-    } else {
-      news.skipped.push_back(fmt::format("{}: {}", member.host.empty() ? "an entry" : member.host, trouble));
-    }
-  }
-  return news;
-}
-
 Discovery::Discovery(Loop& loop, Handler& handler, std::string address, const AskPace& pace,
                      std::uint64_t seed)
     : loop_(loop),
@@ -109,7 +36,8 @@
              }),
       spread_(pace.spread),
       lost_(kAlone.least, kAlone.most, seed),
-      refused_(pace.least, pace.most, seed + 1) {}
+      refused_(pace.least, pace.most, seed + 1),
+      patience_(kPatience) {}
 
 // Without a list nothing can be delivered, so that one is asked for at once.
 void Discovery::Start(std::optional<std::uint64_t> held) {
@@ -136,15 +64,14 @@
   reader_.Reset();
   stream_ = std::make_unique<Stream>(loop_, static_cast<Stream::Listener&>(*this));
   asked_at_ = loop_.Now();
-  up_ = answered_ = false;
-  silence_.Start(kConnect);
+  up_ = headed_ = answered_ = false;
+  silence_.Start(patience_);
   if (stream_->Connect(address_) != 0) Lost("can't connect", Loss::kUnreached);
 }
 
 void Discovery::OnConnected(int error) {
   if (error != 0) return Lost(uv_strerror(error), Loss::kUnreached);
   up_ = true;
-  silence_.Start(std::max(Micros(0), asked_at_ + kFirstAnswer - loop_.Now()));
   const std::string path =
       watching_ ? fmt::format("/catalog/members?watch=1&from={}", *version_) : "/catalog/members";
   if (stream_->StartReading() != 0 ||
@@ -161,7 +88,9 @@
   if (reader_.head_done() && reader_.status() != 200)
     return Lost(fmt::format("status {}", reader_.status()), Loss::kRefused);
   if (!reader_.done()) {
-    if (!good) Lost("unreadable");
+    if (!good) return Lost("unreadable");
+    if (reader_.head_done() && !answered_ && !std::exchange(headed_, true))
+      silence_.Start(std::max(Micros(0), asked_at_ + std::max(patience_, kFirstLine) - loop_.Now()));
     return;
   }
   if (watching_) return Lost("the watch ended");
@@ -174,7 +103,7 @@
 }
 
 void Discovery::OnSilence() {
-  if (up_ && stream_ != nullptr && stream_->unread() > 0) return silence_.Start(kReadFirst);
+  if (up_ && stream_ != nullptr && ReadFirst(silence_, *stream_)) return;
   Lost("silent", answered_ ? Loss::kSilent : Loss::kUnreached);
 }
 
@@ -212,7 +141,6 @@
   }
   version_ = news->version;
   Life();
-  lost_.Reset(), refused_.Reset();
   handler_->OnMembers(std::move(*news));
 }
 
@@ -226,7 +154,10 @@
     clock_.OnRefused();
     AskIn(refused_.Next());
   } else {
-    if (loss == Loss::kUnreached) clock_.OnNoAnswer(asked_at_);
+    if (loss == Loss::kUnreached) {
+      clock_.OnNoAnswer(asked_at_);
+      patience_ = std::min(2 * patience_, kMostPatience);  // it may be slow, and is not to be asked the more
+    }
     AskIn(lost_.Next() + (loss == Loss::kEnded ? lost_.Within(spread_) : Micros(0)));
   }
   handler_->OnWatchLost(reason, clock_.outdated_from());
@@ -235,20 +166,9 @@
 // A whole line or list, and nothing less: bytes that complete nothing tell nothing.
 void Discovery::Life() {
   answered_ = true;
+  patience_ = kPatience;
+  lost_.Reset(), refused_.Reset();
   clock_.OnLife(loop_.Now());
 }
 
-void Nesting::Take(std::string_view bytes) {
-  for (const char c : bytes) {
-    if (std::exchange(escaped_, false)) continue;
-    if (c == '"') {
-      in_string_ = !in_string_;
-    } else if (in_string_) {
-      escaped_ = c == '\\';
-    } else {
-      depth_ += (c == '{') - (c == '}');
-    }
-  }
-}
-
 }  // namespace indigosaddle::net
--- a/src/net/discovery.h
+++ b/src/net/discovery.h
@@ -8,45 +8,15 @@
 #include <optional>
 #include <string>
 #include <string_view>
-#include <vector>
 
 #include "net/backoff.h"
 #include "net/http_reader.h"
 #include "net/list_clock.h"
 #include "net/loop.h"
+#include "net/member_list.h"
 
 namespace indigosaddle::net {
 
-enum class Health : std::uint8_t { kReady, kTerminating, kGone };
-
-struct Member {  // in discovery's words
-  std::string host, dial, site, kind;
-  std::uint64_t block = 0;
-  double share = 0;  // what it takes, where the list's weights mean that; 0: it does not say
-  Health health = Health::kReady;
-};
-
-struct MemberNews {
-  std::uint64_t version = 0;
-  bool whole = false;
-  std::vector<Member> members;
-  std::vector<std::string> skipped;  // what could not be used, and why
-};
-
-// Nothing where the text as a whole is no such object. Entries that can't be used are skipped.
-std::optional<MemberNews> ParseMembers(std::string_view json);
-
-// Whether a JSON text is within an object, bytes at a time: an object may come indented, on several lines.
-class Nesting {
- public:
-  void Take(std::string_view bytes);
-  bool open() const { return depth_ > 0; }
-
- private:
-  int depth_ = 0;
-  bool in_string_ = false, escaped_ = false;
-};
-
 class Discovery : private Stream::Listener {
  public:
   class Handler {
@@ -96,8 +66,9 @@
   Nesting nesting_;  // of text_, while a line is read
   ListClock clock_;
   Micros asked_at_{0};
-  bool watching_ = false, due_ = false;  // due: again_ runs
-  bool up_ = false, answered_ = false;   // the connection; with a whole line or list
+  bool watching_ = false, due_ = false;                  // due: again_ runs
+  bool up_ = false, headed_ = false, answered_ = false;  // connection, answer's head, a whole line or list
+  Micros patience_;                                      // with a request until its answer's head is in
 };
 
 }  // namespace indigosaddle::net
--- a/src/net/loop.cpp
+++ b/src/net/loop.cpp
@@ -1,13 +1,11 @@
 #include "net/loop.h"
 
-#include <fmt/format.h>
 #include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
 #include <algorithm>
 #include <cerrno>
-#include <charconv>
 #include <stdexcept>
 #include <utility>
 
@@ -44,15 +42,19 @@
 
 void Timer::Start(Micros after) {
   // Rounded up: a timer that is early by a fraction of a millisecond would find nothing due.
-  const auto millis = std::max<std::int64_t>(0, std::chrono::ceil<std::chrono::milliseconds>(after).count());
+  // One that is due again at once would hold the loop in its timers for ever.
+  const auto millis = std::max<std::int64_t>(handle_->due ? 1 : 0,
+                                             std::chrono::ceil<std::chrono::milliseconds>(after).count());
   uv_update_time(handle_->timer.loop);
   uv_timer_start(
       &handle_->timer,
       [](uv_timer_t* timer) {
         auto* handle = static_cast<Handle*>(timer->data);
         if (handle->owner != nullptr) {
-          const std::function<void()> due = handle->owner->due_;  // may destroy its timer
+          const std::function<void()> due = handle->owner->due_;  // may destroy its timer, not the handle
+          handle->due = true;
           due();
+          handle->due = false;
         }
       },
       static_cast<std::uint64_t>(millis), 0);
@@ -212,41 +214,10 @@
   return uv_tcp_getpeername(&handle_->tcp, reinterpret_cast<sockaddr*>(&address), &size) == 0;
 }
 
-std::string BoundAddress(const uv_tcp_t* listener) {
-  uv_os_fd_t descriptor = -1;
-  if (listener == nullptr || uv_fileno(reinterpret_cast<const uv_handle_t*>(listener), &descriptor) != 0)
-    return {};
-  return BoundAddress(descriptor);
-}
-
-std::string BoundAddress(int descriptor) {
-  sockaddr_storage at{};
-  socklen_t size = sizeof at;
-  char text[INET6_ADDRSTRLEN] = {};
-  if (getsockname(descriptor, reinterpret_cast<sockaddr*>(&at), &size) != 0) return {};
-  if (at.ss_family == AF_INET6) {
-    const auto& v6 = reinterpret_cast<const sockaddr_in6&>(at);
-    uv_ip6_name(&v6, text, sizeof text);
-    return fmt::format("[{}]:{}", text, ntohs(v6.sin6_port));
-  }
-  const auto& v4 = reinterpret_cast<const sockaddr_in&>(at);
-  uv_ip4_name(&v4, text, sizeof text);
-  return fmt::format("{}:{}", text, ntohs(v4.sin_port));
-}
-
-bool ParseAddress(const std::string& text, sockaddr_storage& address) {
-  const std::size_t colon = text.rfind(':');
-  if (colon == std::string::npos) return false;
-  int port = 0;
-  const char* end = text.data() + text.size();
-  const auto [stop, error] = std::from_chars(text.data() + colon + 1, end, port);
-  if (error != std::errc() || stop != end || port < 0 || port > 65535) return false;
-  std::string host = text.substr(0, colon);
-  if (host.size() > 2 && host.front() == '[' && host.back() == ']') {
-    host = host.substr(1, host.size() - 2);
-    return uv_ip6_addr(host.c_str(), port, reinterpret_cast<sockaddr_in6*>(&address)) == 0;
-  }
-  return uv_ip4_addr(host.c_str(), port, reinterpret_cast<sockaddr_in*>(&address)) == 0;
+bool ReadFirst(Timer& timer, const Stream& stream) {
+  if (stream.unread() == 0) return false;
+  timer.Start(std::chrono::milliseconds(1));
+  return true;
 }
 
 }  // namespace indigosaddle::net
--- a/src/net/loop.h
+++ b/src/net/loop.h
@@ -12,6 +12,7 @@
 #include <string_view>
 
 #include "brain.h"
+#include "net/address.h"
 
 namespace indigosaddle::net {
 
@@ -47,13 +48,15 @@
   Timer(const Timer&) = delete;
   Timer& operator=(const Timer&) = delete;
 
-  void Start(Micros after);  // replaces an earlier start
+  void Start(
+      Micros after);  // replaces an earlier start; from within what it does, a later pass at the soonest
   void Stop();
 
  private:
   struct Handle {
     uv_timer_t timer{};
     Timer* owner = nullptr;
+    bool due = false;  // its owner is at what it does
   };
   Handle* handle_;
   std::function<void()> due_;
@@ -100,11 +103,8 @@
   Listener& listener_;
 };
 
-// False where the text is not "ip:port".
-bool ParseAddress(const std::string& text, sockaddr_storage& address);
-
-// Where a listener is bound, as "ip:port" or "[ip]:port"; empty where it is none or the system does not say.
-std::string BoundAddress(const uv_tcp_t* listener);
-std::string BoundAddress(int descriptor);
+// For what a timer is about to give up: the loop's timers come before its reads, so a node that was held up
+// reads first. True where bytes lie unread on the stream: the timer then comes once more behind them.
+bool ReadFirst(Timer& timer, const Stream& stream);
 
 }  // namespace indigosaddle::net
--- a/src/net/notices.cpp
+++ b/src/net/notices.cpp
@@ -16,8 +16,6 @@
 // harm.
 constexpr Micros kPatience = std::chrono::milliseconds(100);
 constexpr Micros kMostPatience = std::chrono::seconds(1);  // of one that goes on saying nothing
-// The loop's timers come before its reads: a node that was held up reads first.
-constexpr Micros kReadFirst = std::chrono::milliseconds(1);
 constexpr Micros kLeastPause = std::chrono::milliseconds(20);
 constexpr Micros kMostPause = std::chrono::milliseconds(500);
 
@@ -142,7 +140,7 @@
 }
 
 void Notices::OutOfPatience() {
-  if (stream_ != nullptr && up_ && stream_->unread() > 0) return patience_.Start(kReadFirst);
+  if (stream_ != nullptr && up_ && ReadFirst(patience_, *stream_)) return;
   patient_for_ = std::min(2 * patient_for_, kMostPatience);
   Again();
 }
--- a/tests/call_pool_endings_test.cpp
+++ b/tests/call_pool_endings_test.cpp
@@ -22,7 +22,11 @@
   CallEndings()
       : listener(Socket::Listen(port)),
         pool(
-            loop, {seconds(30), seconds(60), 16}, [this](std::uint64_t) { return ++asked, allowed; },
+            loop, {seconds(30), seconds(60), 16},
+            [this](std::uint64_t) {
+              std::this_thread::sleep_for(late);
+              return ++asked, allowed;
+            },
             [this](const net::CallResult& result) {
               results.push_back(result);
               if (on_end) on_end();
@@ -39,7 +43,7 @@
     return socket;
   }
   void ReadCall(const Socket& socket) {
-    std::string taken;
+    taken.clear();
     for (int step = 0; step < 10000 && taken.find("\r\n\r\nbody") == std::string::npos; ++step) {
       uv_run(loop.raw(), UV_RUN_NOWAIT);
       char bytes[4096];
@@ -63,6 +67,8 @@
   net::Loop loop;
   int port = 0, asked = 0;
   bool allowed = true;
+  milliseconds late{0};  // a call's connection, beside what it takes
+  std::string taken;     // the latest call, as its endpoint had it
   Socket listener;
   std::function<void()> on_end;
   std::vector<net::CallResult> results;
@@ -113,6 +119,25 @@
   on_end = nullptr;
 }
 
+// The loop was held up, and both timers of a call are due in one pass of it, the call's time and the patience
+// with its answer: the first ends the call, and the second finds nothing. It looked at the closed connection,
+// and the node crashed (signal 11).
+TEST_F(CallEndings, TwoTimersThatAreDueInOnePassEndACallOnce) {
+  for (const milliseconds timeout :
+       {milliseconds(300), milliseconds(700)}) {  // before the patience, behind it
+    results.clear();
+    Start(timeout);
+    Socket socket = Accept();
+    ASSERT_TRUE(socket.Write("HTTP/1.1 2"));
+    uv_run(loop.raw(), UV_RUN_NOWAIT);  // read: patience of 500 ms runs from here
+    std::this_thread::sleep_for(milliseconds(900));
+    EXPECT_EQ(RunToAnEnd(), Ending::kUnreadable);
+    for (int step = 0; step < 10; ++step) uv_run(loop.raw(), UV_RUN_NOWAIT);
+    EXPECT_EQ(results.size(), 1u);
+    EXPECT_TRUE(Closed(socket));
+  }
+}
+
 // The endpoint ends its idle connection in the instant in which a call is written to it: the call may have
 // run, and the pool sends it nowhere else.
 TEST_F(CallEndings, AnIdleConnectionThatEndsUnderItsCallIsAReset) {
@@ -177,6 +202,20 @@
   EXPECT_EQ(pool.written(), 0u);
 }
 
+// A call tells for how long its node waits from there on; its connection's way is no longer in that.
+TEST_F(CallEndings, WhatACallTellsOfItsTimeCountsFromItsFirstByte) {
+  late = milliseconds(300);
+  Start(milliseconds(1000));
+  const Socket socket = Accept();
+  const std::string name = "X-Expires-In: ";
+  const std::size_t at = taken.find(name);
+  ASSERT_NE(at, std::string::npos);
+  const int millis = std::stoi(taken.substr(at + name.size()));
+  EXPECT_GT(millis, 0);
+  EXPECT_LE(millis, 700);
+  EXPECT_EQ(RunToAnEnd(), Ending::kTimedOut);
+}
+
 // The count by which a call is recorded as begun in its turn: only connections on which nothing lies.
 TEST_F(CallEndings, IdleConnectionsAreCountedAsTheyAreUsed) {
   const std::string dial = "127.0.0.1:" + std::to_string(port);
--- a/tests/net_list_paths_test.cpp
+++ b/tests/net_list_paths_test.cpp
@@ -64,6 +64,7 @@
     EXPECT_GT(news_after_, Clock::time_point()) << "no news";
     return std::chrono::duration_cast<milliseconds>(news_after_ - began_.load());
   }
+  net::Discovery::Handler& handler() { return *this; }
   // What an answer takes that the machine is slow to give.
   static constexpr milliseconds kRoom{1000};
   static constexpr milliseconds kBound = std::chrono::duration_cast<milliseconds>(net::kToldAfter) - kRoom;
@@ -147,6 +148,37 @@
   EXPECT_LT(took, seconds(3));
 }
 
+// Two failures in a row: a standing watch falls silent, and the request behind it is not answered. From the
+// last line on, the latest instant from which a change can have been missed, a third one has its answer
+// within the 6 s after which a change counts as told.
+TEST_F(ListPaths, AWatchThatFallsSilentAndThenARequestThatIsNotAnswered) {
+  std::atomic<int> watches{0};
+  std::atomic<Clock::time_point> last_line{Clock::time_point()}, third{Clock::time_point()};
+  HttpServer server([&](Socket& socket, const HttpRequest& request) {
+    if (request.line.find("watch=1") == std::string::npos) return socket.Write(Whole(41));
+    const int number = ++watches;
+    if (number == 1) {
+      socket.Write(kWatchHead + Chunk(Line(42)));
+      last_line = Clock::now();
+    } else if (number == 3) {
+      third = Clock::now();
+    }
+    return true;
+  });
+  net::Loop loop;
+  net::Discovery discovery(loop, handler(), server.address(), net::PaceOfAsking(1, Micros(0)), 1);
+  discovery.Start();
+  const auto give_up = Clock::now() + seconds(20);
+  net::Timer look(loop, [&] {
+    third.load() > Clock::time_point() || Clock::now() > give_up ? loop.Stop() : look.Start(milliseconds(5));
+  });
+  look.Start(milliseconds(5));
+  loop.Run();
+  server.Stop();
+  ASSERT_GT(third.load(), Clock::time_point()) << "no third watch";
+  EXPECT_LT(third.load() - last_line.load(), net::kToldAfter - milliseconds(500));
+}
+
 // An object that comes indented, on several lines, is one change, and no reason to ask for the whole list
 // anew.
 TEST_F(ListPaths, AnIndentedChangeIsRead) {
