A delivery in the last moment of its message's time is told to the platform as well

Their client's clock began some tenths of a millisecond before, so the answer came too late for it; nothing more was said and the message was lost. Where it had a key, the next one was sent: order broken. Ruled out: a status taken before its line's end (whole answers of 98 bytes), a surplus answer of an earlier call, a kill or a stop in between, a client that had not heard +OK.

A 200 within 50 ms of the end, or behind it, is a delivery and a notice 'failed', which does no harm where the message was over (PROTOCOL). Its key waits for the notice (Outcome::untold). And a message's time runs from its command's first byte, not its last.

--- a/src/brain.h
+++ b/src/brain.h
@@ -117,6 +117,7 @@
   bool last = false;  // the message has concluded
   Micros wait{0};     // told with kFull; zero: none told
   LoadReport load;
+  bool untold = false;  // with last: OnAnswerTold follows, and its key waits for that
 };
 
 // What the module does to the world. Every call takes effect at the present turn.
--- a/src/brain/brain.cpp
+++ b/src/brain/brain.cpp
@@ -72,7 +72,7 @@
     Call& call = calls_.at(held.call);
     Route& route = *Find(*call.home, call.endpoint);  // kept while a call is out
     Lane& lane = LaneOf(route);
-    held.out = false;
+    held.out = false, held.untold |= outcome.untold;
     const Result result = outcome.result;
     const bool ok = result == Result::kOk, garbled = result == Result::kGarbled;
     const bool may_run_on =
--- a/src/net/resp.h
+++ b/src/net/resp.h
@@ -43,7 +43,8 @@
 struct Enqueue {
   std::string id, message_class, tenant, idempotency_key, order_key, body;
   std::uint64_t destination = 0;
-  Micros time_left{0};
+  Micros time_left{0};  // from when the client sent it
+  Micros begun{0};      // its first byte came
 };
 
 // Empty where the command is well formed, else what is wrong with it.
--- a/src/node/node_events.cpp
+++ b/src/node/node_events.cpp
@@ -25,7 +25,7 @@
   message.order_key = std::move(enqueue.order_key);
   message.body = std::move(enqueue.body);
   message.destination = enqueue.destination;
-  message.give_up_at = loop_.Now() + enqueue.time_left;
+  message.give_up_at = enqueue.begun + enqueue.time_left;
   Push(std::move(event));
 }
 
@@ -78,7 +78,7 @@
 
 void Node::OnCallEnded(const net::CallResult& result) {
   ++endings_[static_cast<std::size_t>(result.ending)];
-  Push(state::CallEnded{result.serial, result.ending, result.latency, result.wait, result.load});
+  Push(state::CallEnded{result.serial, result.ending, result.latency, result.wait, result.load, loop_.Now()});
 }
 
 }  // namespace indigosaddle::node
--- a/src/state/reducer.cpp
+++ b/src/state/reducer.cpp
@@ -12,6 +12,9 @@
 constexpr std::size_t kOwedOfJournal = 45;  // percent of the folder that owed messages may fill: a rewrite
                                             // needs room beside the old file, and appends between rewrites
 constexpr std::size_t kNoticesAtOnce = 500;
+// How well a message's time is known here: its client counts it from when it sent the first byte, over a way
+// that takes as long as it takes.
+constexpr Micros kTimeDoubt = std::chrono::milliseconds(50);
 
 // ---- Records: what the journal holds is changed in memory here, live and in recovery alike ---------------
 
@@ -210,13 +213,17 @@
     outcome.result = meaning.result;
     outcome.latency = e.latency;
     outcome.last = meaning.over || owed->ended;
+    // An answer in the last moment may have come too late for its client, whose clock began before: the end
+    // is told as well, which does no harm where it was in time.
+    outcome.untold =
+        meaning.result == Result::kOk && e.at >= owed->taken.give_up_at - kTimeDoubt && !owed->ended;
     outcome.wait = e.wait;
     outcome.load = e.load;
     effects_.emplace_back(TellOutcome{outcome});
     Record_(Settled{e.serial, meaning.result});
     if (meaning.over) {
       if (!owed->ended) SayOver(*owed, meaning.result == Result::kOk ? Over::kDelivered : Over::kWithdrawn);
-      Record_(Ended{e.serial, End::kNothingOwed, Micros(0)});
+      Record_(Ended{e.serial, outcome.untold ? End::kFailed : End::kNothingOwed, Micros(0)});
     }
     keep_.Drop(e.serial);
   }
--- a/src/state/reducer.h
+++ b/src/state/reducer.h
@@ -56,6 +56,7 @@
   Ending ending = Ending::kNotStarted;
   Micros latency{0}, wait{0};
   LoadReport load;
+  Micros at{0};
 };
 struct NoticesTaken {  // answered by the platform: nothing more is owed for these
   std::vector<Serial> serials;
--- a/tests/brain_endings_test.cpp
+++ b/tests/brain_endings_test.cpp
@@ -37,6 +37,28 @@
   EXPECT_EQ(node.answers[1], 1);
 }
 
+// Delivered in the last moment, perhaps too late: the end is told as well, and the key waits for that.
+TEST(OrderedEnding, TheKeyWaitsForWhatIsToldOfADeliveryInDoubt) {
+  for (const bool untold : {true, false}) {
+    TestNode node(InOrder());
+    node.Turn(kBegin, [&] {
+      node.List({TestNode::At(7, "a"), TestNode::At(8, "b")});
+      node.Take(1, 7, seconds(1), "k");
+      node.Take(2, 8, seconds(20), "k");
+    });
+    node.Turn(kBegin + milliseconds(990), [&] {
+      Outcome outcome;
+      outcome.id = 1, outcome.endpoint = "a", outcome.result = Result::kOk;
+      outcome.last = true, outcome.untold = untold;
+      node.brain().OnOutcome(outcome);
+    });
+    EXPECT_EQ(node.CountSends(MessageId{2}), untold ? 0 : 1);
+    node.Turn(kBegin + seconds(2), [&] { node.brain().OnAnswerTold(1); });
+    EXPECT_EQ(node.CountSends(MessageId{2}), 1);
+    EXPECT_EQ(node.answers[1], 0);
+  }
+}
+
 // Both are waited for: the answer and the outcome of an attempt that was out, in either order.
 TEST(OrderedEnding, TheKeyWaitsForTheAnswerAndForTheOutcome) {
   for (const bool answer_first : {true, false}) {
--- a/tests/node_endings_test.cpp
+++ b/tests/node_endings_test.cpp
@@ -100,6 +100,33 @@
   EXPECT_LT(Clock::now() - ignored, milliseconds(800));  // 120 ms, with room for a slow machine
 }
 
+// A 200 in the last moment of a message's time: by its client's clock it may have come too late, so the
+// platform is told an end as well. With nothing told, such a message was lost.
+TEST_F(NodeEndings, ADeliveryInTheLastMomentIsToldAsWell) {
+  EndpointStandIn endpoint([](Socket& s, const HttpRequest&, int) {
+    std::this_thread::sleep_for(milliseconds(975));  // of 1,000
+    return s.Write(Answer(200));
+  });
+  platform.Set(PlatformStandIn::Member("s-1", endpoint.address(), 7));
+  ListSettler();
+  node.config["settings"]["classes"][2]["aim"] = 2000.0;  // its time-out is what is left of its time
+  ASSERT_TRUE(node.Start());
+  Settle();
+  ASSERT_EQ(Enqueue("m", "c=unsafe,d=1000,dest=7"), "+OK");
+  EXPECT_TRUE(Eventually([&] { return HasNotice("m", "failed"); }));
+  EXPECT_EQ(endpoint.CallsFor("m"), 1);
+}
+
+// A message's time runs from its client's sending: of a command that comes slowly, from its first byte.
+TEST_F(NodeEndings, ACommandsTimeRunsFromItsFirstByte) {
+  ASSERT_TRUE(node.Start());
+  const std::string command = ClientStandIn::Enqueue("m", "c=safe,d=300,dest=7");
+  ClientStandIn client(node.port);
+  ASSERT_TRUE(client.Write(command.substr(0, 5)));
+  std::this_thread::sleep_for(milliseconds(400));
+  EXPECT_TRUE(client.Ask(command.substr(5)).starts_with("-BUSY"));  // its time is over
+}
+
 // The key of the order is the command's first word. What is behind it in its key waits until the end before
 // it has been told to the platform, not only decided.
 TEST_F(NodeEndings, AKeysNextMessageWaitsForTheNoticeBeforeIt) {
--- a/tests/state_test.cpp
+++ b/tests/state_test.cpp
@@ -149,6 +149,36 @@
   }
 }
 
+// A client's clock runs from its own sending. A delivery in the last moment may have come too late for it,
+// and with no word to the platform such a message was lost: its end is told as well. Earlier ones owe
+// nothing.
+TEST(Reducer, ADeliveryInTheLastMomentIsToldAsWell) {
+  for (const Micros before : {Micros(milliseconds(60)), Micros(milliseconds(50)), Micros(0), -Micros(1)}) {
+    Play play;
+    const Serial serial = play.Owe("a");
+    play.Begin(serial);
+    play.effects.clear();
+    const Micros at = play.state.owed.at(serial).taken.give_up_at - before;
+    play.Event_(CallEnded{serial, Ending::kDelivered, milliseconds(9), {}, {}, at});
+    play.Turn();
+    const bool in_doubt = before <= milliseconds(50);
+    ASSERT_EQ(play.All<TellOutcome>().size(), 1u);
+    EXPECT_TRUE(play.All<TellOutcome>()[0].outcome.last);
+    EXPECT_EQ(play.All<TellOutcome>()[0].outcome.untold, in_doubt);
+    ASSERT_EQ(play.All<PostNotices>().size(), in_doubt ? 1u : 0u);
+    if (!in_doubt) {
+      EXPECT_TRUE(play.state.owed.empty());
+      continue;
+    }
+    EXPECT_EQ(play.All<PostNotices>()[0].notices.at(0).id, "a");
+    EXPECT_EQ(play.All<PostNotices>()[0].notices.at(0).end, End::kFailed);
+    EXPECT_EQ(play.Restart().All<PostNotices>().size(), 0u);  // with the first turn of the next life
+    play.Event_(NoticesTaken{{serial}});
+    EXPECT_EQ(play.All<TellAnswerTold>().size(), 1u);
+    EXPECT_TRUE(play.state.owed.empty());
+  }
+}
+
 TEST(Reducer, AnEndAfterTheAnswerIsOneNoticeUntilItIsTaken) {
   Play play;
   const Serial returned = play.Owe("a"), failed = play.Owe("b");
