--- a/src/net/control_server.cpp
+++ b/src/net/control_server.cpp
@@ -1,6 +1,7 @@
 #include "net/control_server.h"
 
 #include <fmt/format.h>
+#include <poll.h>
 #include <sys/socket.h>
 #include <sys/stat.h>
 #include <sys/un.h>
@@ -71,7 +72,7 @@
                [](uv_stream_t* stream, ssize_t count, const uv_buf_t* buffer) {
                  auto* handle = static_cast<Handle*>(stream->data);
                  if (handle->owner == nullptr || count == 0) return;
-                 if (count < 0) return handle->owner->server_.Drop(handle->owner->id_);
+                 if (count < 0) return handle->owner->OnEnd(static_cast<int>(count));
                  handle->owner->OnBytes({buffer->base, static_cast<std::size_t>(count)});
                }) == 0;
   }
@@ -89,7 +90,8 @@
       const std::unique_ptr<Pending> written(static_cast<Pending*>(request->data));
       Handle* handle = written->handle;
       handle->unwritten -= written->bytes.size();
-      if (handle->owner != nullptr && status < 0) handle->owner->server_.Drop(handle->owner->id_);
+      if (handle->owner != nullptr && (status < 0 || handle->owner->Over()))
+        handle->owner->server_.Drop(handle->owner->id_);
     });
     if (error == 0) return;
     delete pending;
@@ -123,6 +125,18 @@
     std::string bytes;
   };
 
+  // A peer that has ended its sending alone is still owed the answers to what it asked.
+  void OnEnd(int error) {
+    uv_read_stop(stream());
+    ended_ = true;
+    uv_os_fd_t descriptor = -1;
+    uv_fileno(reinterpret_cast<const uv_handle_t*>(&handle_->pipe), &descriptor);
+    pollfd closed{descriptor, 0, 0};
+    const bool listens = error == UV_EOF && poll(&closed, 1, 0) == 0;  // POLLHUP: closed as a whole
+    if (!listens || Over()) server_.Drop(id_);
+  }
+  bool Over() const { return ended_ && waiting_ == 0 && handle_->unwritten == 0; }
+
   uv_stream_t* stream() { return reinterpret_cast<uv_stream_t*>(&handle_->pipe); }
 
   void OnBytes(std::string_view bytes) {
@@ -156,7 +170,7 @@
   std::string bytes_;  // of a line that has not ended
   std::size_t waiting_ = 0;
   Micros quiet_since_{0}, line_since_{0};
-  bool refused_ = false;
+  bool refused_ = false, ended_ = false;  // ended: by the peer, its sending
 };
 
 ControlServer::ControlServer(Loop& loop, Handler& handler)
--- a/src/net/resp_connection.h
+++ b/src/net/resp_connection.h
@@ -48,10 +48,10 @@
 
   // The node closes it between requests. Its end goes ahead of the close: what the client has sent meanwhile
   // is read and dropped, so that it finds an orderly end and no reset that could cost it its last reply.
-  void Depart() {
+  void Depart(ClientEnd end = ClientEnd::kStopping) {
     leaving_ = true;
     stream_.StopReading();
-    Linger(ClientEnd::kStopping);
+    Linger(end);
   }
 
   // How readily it gives way to a new client, most readily first; none: not at all.
@@ -64,12 +64,13 @@
     return now - quiet_since_ < resp::kNewcomer ? 5 : 2;
   }
   bool unread() const { return stream_.unread() > 0; }
+  bool lingering() const { return lingering_; }
 
   // Ends what has lasted too long in its state. May destroy nothing but itself.
   void Sweep(Micros now, bool room_wanted) {
     const Micros quiet = now - quiet_since_;
     if (lingering_) {
-      if (quiet >= (linger_end_ == ClientEnd::kStopping ? resp::kDepart : resp::kLinger))
+      if (quiet >= (linger_end_ == ClientEnd::kTurnedAway ? resp::kLinger : resp::kDepart))
         server_.Drop(id_, linger_end_);
     } else if (stream_.unwritten() > 0) {
       if (quiet >= resp::kUntaken) server_.Drop(id_, ClientEnd::kUntaken);
@@ -79,7 +80,7 @@
       const bool late = quiet >= resp::kStalled || now - command_since_ >= resp::kCommand;
       if (late && !unread()) Leave("the command did not end in time");
     } else if (quiet >= (asked() ? resp::kQuiet : resp::kSilent) && (room_wanted || !asked()) && !unread()) {
-      server_.Drop(id_, asked() ? ClientEnd::kQuiet : ClientEnd::kSilent);
+      Depart(asked() ? ClientEnd::kQuiet : ClientEnd::kSilent);
     }
   }
 
@@ -180,6 +181,7 @@
       replies_.back() = "-ERR " + trouble + "\r\n";
       return;
     }
+    enqueue.begun = command_since_;
     server_.handler_.OnEnqueue(id_, last_command_, std::move(enqueue));
   }
 
--- a/src/net/resp_server.cpp
+++ b/src/net/resp_server.cpp
@@ -123,9 +123,17 @@
   std::vector<std::uint64_t> all;
   all.reserve(connections_.size());
   for (const auto& [id, connection] : connections_) all.push_back(id);
+  // Those that linger are on their way out: they ask for no more room.
+  auto staying =
+      static_cast<std::size_t>(std::count_if(connections_.begin(), connections_.end(),
+                                             [](const auto& entry) { return !entry.second->lingering(); }));
   for (std::uint64_t id : all) {
-    const bool room_wanted = 4 * connections_.size() > limits_.connections;
-    if (const auto it = connections_.find(id); it != connections_.end()) it->second->Sweep(now, room_wanted);
+    const auto it = connections_.find(id);
+    if (it == connections_.end()) continue;
+    const bool stayed = !it->second->lingering();
+    it->second->Sweep(now, 4 * staying > limits_.connections);
+    const auto after = connections_.find(id);
+    if (stayed && (after == connections_.end() || after->second->lingering())) --staying;
   }
   sweep_.Start(kSweepEvery);
 }
--- a/src/node/journal_file.cpp
+++ b/src/node/journal_file.cpp
@@ -49,12 +49,7 @@
   lock_ = Lock("journal.lock");
   const bool was_successor = next_lock_ >= 0;
   if (!was_successor) next_lock_ = Lock("journal.next.lock");
-  if (lock_ >= 0) {
-    // The next write is a rewrite of all that is owed, into the owner's file; until then this process's own
-    // file stays, for it holds what is owed.
-    if (was_successor) WriteTo(owners_path_);
-    return Role::kOwner;
-  }
+  if (lock_ >= 0) return Role::kOwner;
   if (next_lock_ < 0) return Role::kNone;
   if (!was_successor) WriteTo(next_path_);
   return Role::kSuccessor;
@@ -82,7 +77,12 @@
   if (!successor && unlink((owners_path_ + ".new").c_str()) == 0) {
     trouble = "a rewrite was cut off; the journal before it holds";
   }
-  return ReadFile(owners_path_, most, bytes, trouble);
+  if (!ReadFile(owners_path_, most, bytes, trouble)) return false;
+  // Taken over: the next write is a rewrite of all that is owed, into the owner's file. Until then this
+  // process's own file stays, for it holds what is owed; and it is written on until the owner's has been
+  // read.
+  if (lock_ >= 0 && path_ != owners_path_) WriteTo(owners_path_);
+  return true;
 }
 
 bool JournalFile::ReadNext(std::size_t most, std::string& bytes, std::string& trouble) {
@@ -100,16 +100,18 @@
     trouble = std::strerror(errno);
     return false;
   }
+  const base::Descriptor owned(file);
   std::string block(1 << 16, '\0');
-  while (bytes.size() < most) {
-    const ssize_t count = read(file, block.data(), std::min(block.size(), most - bytes.size()));
+  while (true) {
+    const ssize_t count = read(file, block.data(), block.size());
     if (count < 0 && errno == EINTR) continue;
-    if (count < 0) trouble = std::strerror(errno);
-    if (count <= 0) break;
+    if (count < 0)
+      return trouble = std::strerror(errno), false;  // a part of it would pass for all that is owed
+    if (count == 0) return true;
+    if (bytes.size() + static_cast<std::size_t>(count) > most)
+      return trouble = "the journal is longer than " + std::to_string(most) + " bytes", false;
     bytes.append(block, 0, static_cast<std::size_t>(count));
   }
-  close(file);
-  return true;
 }
 
 bool JournalFile::Append(std::string_view bytes) {
--- a/src/node/journal_file.h
+++ b/src/node/journal_file.h
@@ -24,17 +24,19 @@
 
   enum class Role : std::uint8_t { kOwner, kSuccessor, kNone };
   // What this process is to the folder from now on; an owner stays one. None: two others share it already.
-  // Unclaimed, the owner's file is used, as by tools.
+  // Unclaimed, the owner's file is used, as by tools. A successor that has become the owner goes on writing
+  // its own file until it has read the owner's.
   Role Claim();
   // Whether another process waits to take over from this owner.
   bool HasSuccessor() const;
   // What `journal.next` holds belongs to a process that is gone: true for an owner until its first rewrite,
   // unless a successor has come meanwhile.
-  bool absorbs_next() const { return lock_ >= 0 && next_lock_ >= 0; }
+  bool absorbs_next() const { return lock_ >= 0 && next_lock_ >= 0 && path_ == owners_path_; }
 
-  // What an earlier process left, at most `most` bytes of it; removes a rewrite that was cut off. False where
-  // the folder can't be used. An owner that absorbs it reads the successor's file too, which a successor that
-  // died before it took over leaves; a successor reads the owner's, to number its messages past it.
+  // What an earlier process left; removes a rewrite that was cut off. False where the folder can't be used,
+  // or the file can't be read to its end or holds over `most` bytes: a part of it would pass for all that is
+  // owed. An owner that absorbs it reads the successor's file too, which a successor that died before it took
+  // over leaves; a successor reads the owner's, to number its messages past it.
   bool Read(std::size_t most, std::string& bytes, std::string& trouble);
   bool ReadNext(std::size_t most, std::string& bytes, std::string& trouble);
 
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -25,6 +25,7 @@
 constexpr Micros kLeaveAgain = milliseconds(10);
 // A successor asks this often whether the process before it has ended; what that one left waits no longer.
 constexpr Micros kClaimEvery = milliseconds(20);
+constexpr Micros kReadAgain = seconds(1);  // where that can't be read
 // To rules and limits two processes are one node, so a successor takes messages on but begins no call for so
 // long, or until the process before it has ended: that one is told to stop as soon as the successor says that
 // it is ready, and begins meanwhile what should end by then. One that is left running holds up nothing
@@ -107,7 +108,7 @@
     return false;
   }
   std::string bytes, trouble;
-  if (!journal_.Read(config_.disk_bytes, bytes, trouble)) {
+  if (!journal_.Read(MostJournal(config_), bytes, trouble)) {
     log_.Write(base::kFolderUnusable, config_.state_folder, trouble);
     return false;
   }
@@ -122,7 +123,11 @@
     // A successor that died before it took over left its own file.
     std::string next;
     trouble.clear();
-    if (journal_.absorbs_next() && journal_.ReadNext(config_.disk_bytes, next, trouble) && !next.empty()) {
+    if (journal_.absorbs_next() && !journal_.ReadNext(MostJournal(config_), next, trouble)) {
+      log_.Write(base::kFolderUnusable, config_.state_folder, trouble);
+      return false;
+    }
+    if (!next.empty()) {
       log_.Write(base::kJournalFound, next.size());
       state::ReadJournal more = Parsed(next, highest);
       if (!more.trouble.empty()) log_.Write(base::kJournalDamaged, more.trouble, more.read, next.size());
@@ -186,12 +191,13 @@
   claim_timer_.Start(kClaimEvery);
   if (!successor_) return ShareRoom(journal_.HasSuccessor());
   if (journal_.Claim() != JournalFile::Role::kOwner) return;
-  successor_ = false;
-  ShareRoom(false);
   std::string bytes, trouble;
-  if (!journal_.Read(config_.disk_bytes, bytes, trouble)) {
+  if (!journal_.Read(MostJournal(config_), bytes, trouble)) {  // left as it is, and serves on as a successor
     log_.Write(base::kFolderUnusable, config_.state_folder, trouble);
+    return claim_timer_.Start(kReadAgain);
   }
+  successor_ = false;
+  ShareRoom(false);
   state::Serial highest = 0;
   state::ReadJournal old = Parsed(bytes, highest);
   if (!old.trouble.empty()) log_.Write(base::kJournalDamaged, old.trouble, old.read, bytes.size());
--- a/src/node/shares.cpp
+++ b/src/node/shares.cpp
@@ -45,6 +45,8 @@
   return shared ? all / 2 : all;
 }
 
+std::size_t MostJournal(const Config& config) { return std::max(config.disk_bytes, config.memory_bytes / 4); }
+
 state::Limits LimitsOf(const Config& config) {
   return {static_cast<std::size_t>(std::max(0, config.settings.max_open)), JournalRoom(config, false),
           config.classes, config.tenants};
--- a/tests/node_control_test.cpp
+++ b/tests/node_control_test.cpp
@@ -47,6 +47,19 @@
   EXPECT_FALSE(node.Ended());
 }
 
+// As `printf ... | nc -U` does: what was asked before the end of the sending is answered, then the node ends.
+TEST_F(ChangesTest, APeerThatEndsItsSendingHasItsAnswers) {
+  ASSERT_TRUE(node.Start());
+  ControlStandIn peer(node);
+  std::string asked;
+  for (int i = 0; i < 10; ++i) asked += "{\"op\":\"show\"}\n";
+  ASSERT_TRUE(peer.socket().Write(asked));
+  shutdown(peer.socket().get(), SHUT_WR);
+  std::string answers;
+  for (std::string more = peer.socket().Read(); !more.empty(); more = peer.socket().Read()) answers += more;
+  EXPECT_EQ(std::count(answers.begin(), answers.end(), '\n'), 10);
+}
+
 TEST_F(ChangesTest, AnotherUserIsRefusedByItsCredentials) {
   if (geteuid() != 0) GTEST_SKIP() << "only root can be another user";
   ListSettler();
--- a/tests/resp_server_endings_test.cpp
+++ b/tests/resp_server_endings_test.cpp
@@ -151,5 +151,23 @@
   EXPECT_EQ(Next(lingers), "ended");
 }
 
+// A client that is closed for its quiet finds the end of the stream first, and what crosses it is read and
+// dropped: closed at once, a command in that instant turned the end into a reset.
+TEST_F(RespEndings, ACommandThatCrossesAnIdleCloseFindsAnOrderlyEnd) {
+  Serve(2);  // over a quarter of the places taken: quiet clients are let go
+  const Socket quiet = Connect();
+  ASSERT_TRUE(quiet.Write(kPing));
+  ASSERT_EQ(Next(quiet), "+PONG\r\n");
+  ASSERT_EQ(Next(quiet), "ended");
+  ASSERT_TRUE(quiet.Write(kPing));
+  EXPECT_EQ(Next(quiet), "ended");
+  for (int step = 0; step < 1000 && server->connections() > 0; ++step) {
+    Step(1);
+    std::this_thread::sleep_for(milliseconds(1));
+  }
+  EXPECT_EQ(server->connections(), 0u);  // and does not linger for long
+  EXPECT_EQ(Next(quiet), "ended");
+}
+
 }  // namespace
 }  // namespace indigosaddle::testing
