--- a/tests/fleet/agent_test.cpp
+++ b/tests/fleet/agent_test.cpp
@@ -3,6 +3,7 @@
 #include "fleet/agent.h"
 
 #include <gtest/gtest.h>
+#include <sys/socket.h>
 #include <unistd.h>
 
 #include <chrono>
@@ -11,6 +12,10 @@
 #include <set>
 #include <string>
 #include <thread>
+#include <vector>
+
+#include "base/descriptor.h"
+#include "net/address.h"
 
 namespace indigosaddle::fleet {
 namespace {
@@ -86,6 +91,24 @@
   }
 }
 
+// Exchanges that never end, begun by hand at an agent's address: more than it has places for. Each has its
+// end after 3 s, and exchanges with members go on behind them.
+TEST_F(AgentTest, ExchangesThatNeverEndGiveTheirPlacesBack) {
+  const auto one = Make(0), other = Make(1);
+  ASSERT_EQ(one->agent->Start(), "");
+  sockaddr_storage at{};
+  ASSERT_TRUE(net::ParseAddress(Address(0), at));
+  std::vector<std::unique_ptr<base::Descriptor>> held;
+  for (int i = 0; i < 20; ++i) {
+    held.push_back(std::make_unique<base::Descriptor>(socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0)));
+    ASSERT_EQ(connect(held.back()->get(), reinterpret_cast<sockaddr*>(&at), sizeof(sockaddr_in)), 0);
+    ASSERT_TRUE(base::WriteAll(held.back()->get(), std::string("\0\0", 2)));  // half a length
+  }
+  ASSERT_TRUE(Soon([&] { return one->agent->counters().exchanges_failed >= 16; }));
+  ASSERT_EQ(other->agent->Start(), "");
+  EXPECT_TRUE(Soon([&] { return one->agent->counters().exchanges >= 1; }));
+}
+
 TEST_F(AgentTest, AnAddressThatIsTakenIsSaidAndEndsCleanly) {
   const auto first = Make(0), second = Make(0);
   ASSERT_EQ(first->agent->Start(), "");
--- a/tests/node_ops_test.cpp
+++ b/tests/node_ops_test.cpp
@@ -56,6 +56,28 @@
   EXPECT_EQ(garbled.Read().rfind("HTTP/1.1 400", 0), 0U);
 }
 
+// What a caller sends behind its call is dropped unread by the operators' part, and the answer is whole all
+// the same, with an orderly end behind it: closed over those bytes, the connection was reset and the answer
+// lost.
+TEST_F(OpsTest, ACallWithBytesBehindItHasItsWholeAnswerAndAnOrderlyEnd) {
+  ASSERT_TRUE(node.Start());
+  const std::string whole = Call(control, "GET", "/admin/stats").second;
+  for (const std::size_t behind : {1, 100, 60000}) {
+    const Socket caller = Socket::Connect(control);
+    ASSERT_TRUE(caller.Write("GET /admin/stats HTTP/1.1\r\nHost: node\r\n\r\n" + std::string(behind, 'x')));
+    std::string bytes;
+    char space[4096];
+    ssize_t count = 0;
+    while ((count = recv(caller.get(), space, sizeof space, 0)) > 0) {
+      bytes.append(space, static_cast<std::size_t>(count));
+      caller.Write("more");  // as the answer comes
+    }
+    EXPECT_EQ(count, 0) << "reset behind " << behind;
+    EXPECT_TRUE(bytes.starts_with("HTTP/1.1 200"));
+    EXPECT_EQ(std::count(bytes.begin(), bytes.end(), '\n'), std::count(whole.begin(), whole.end(), '\n') + 6);
+  }
+}
+
 TEST_F(OpsTest, TheFiguresCountByClassFromTheStart) {
   ListSettler();
   ASSERT_TRUE(node.Start());
