--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -17,23 +17,9 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
-// A planned restart kills no sooner than 3.7 s after its signal. Clients are left while the node still
-// listens, so that one whose request crosses the closing finds it once more.
-constexpr Micros kLeaveClientsAfter = milliseconds(3000);
-constexpr Micros kStopListeningAfter = milliseconds(3200);
-constexpr Micros kFinishAfter = milliseconds(3400);
-constexpr Micros kLeaveAgain = milliseconds(10);
 // A successor asks this often whether the process before it has ended; what that one left waits no longer.
 constexpr Micros kClaimEvery = milliseconds(20);
 constexpr Micros kReadAgain = seconds(1);  // where that can't be read
-// To rules and limits two processes are one node, so a successor takes messages on but begins no call for so
-// long, or until the process before it has ended: that one is told to stop as soon as the successor says that
-// it is ready, and begins meanwhile what should end by then. One that is left running holds up nothing
-// longer.
-constexpr Micros kHandOver = seconds(1);
-// A process that is replaced hands over early: once no call is out. Clients that have connected just now and
-// not asked yet have so long.
-constexpr Micros kLeaveUnasked = milliseconds(200);
 // A third process waits this long for one of two that share the folder to end.
 constexpr Micros kWaitForPlace = seconds(5);
 // A successor's messages are numbered past all that the process before it can number meanwhile.
@@ -222,35 +208,4 @@
     state_.limits.journal_bytes = JournalRoom(config_, shared);
 }
 
-void Node::Stop() {
-  if (std::exchange(stopping_, true)) return;
-  log_.Write(base::kStopping, state_.open());
-  server_.SetReady(false);
-  changes_.Stop();
-  // With a successor nothing is gained by staying: it listens already, and waits for what is held here.
-  handing_over_ = journal_.HasSuccessor();
-  state_.rewrite_due |= handing_over_;  // a short journal is taken over soonest, and leaves the most room
-  const Micros now = loop_.Now();
-  Push(state::StopAsked{now + (handing_over_ ? kHandOver : kFinishAfter)});
-  stop_listening_at_ = now + (handing_over_ ? Micros(0) : kStopListeningAfter);
-  leave_timer_.Start(handing_over_ ? Micros(0) : kLeaveClientsAfter);
-  finish_timer_.Start(kFinishAfter);
-}
-
-void Node::LeaveClients() {
-  const Micros now = loop_.Now();
-  const bool last = now >= stop_listening_at_;
-  if (last) server_.StopListening();
-  const bool left = server_.CloseQuiet(last && (!handing_over_ || now >= stop_listening_at_ + kLeaveUnasked));
-  const bool over = handing_over_ ? pool_.calls() == 0 : state_.open() == 0 && state_.notices.empty();
-  if (last && left && over && events_.empty()) return Finish();
-  leave_timer_.Start(kLeaveAgain);
-}
-
-void Node::Finish() {
-  Report();
-  log_.Write(base::kStopped, state_.open(), state_.notices.size());
-  loop_.Stop();
-}
-
 }  // namespace indigosaddle::node
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <array>
+#include <chrono>
 #include <deque>
 #include <map>
 #include <memory>
@@ -43,6 +44,12 @@
   void Stop();    // ends the loop when all that was read is answered, before a kill would come
 
  private:
+  // To rules and limits two processes are one node, so a successor takes messages on but begins no call for
+  // so long, or until the process before it has ended: that one is told to stop as soon as the successor says
+  // that it is ready, and begins meanwhile what should end by then. One that is left running holds up nothing
+  // longer.
+  static constexpr Micros kHandOver = std::chrono::seconds(1);
+
   // Host: the module's decisions, as events of the turn.
   void Send(MessageId id, const EndpointId& endpoint, Micros timeout) override;
   bool Refuse(MessageId id, Micros not_before) override;
--- /dev/null
+++ b/src/state/keeper.h
@@ -0,0 +1,120 @@
+// What the journal holds, changed in memory by its records: live and in recovery alike. A part of the
+// reducer.
+#pragma once
+
+#include <algorithm>
+#include <string>
+
+#include "state/journal.h"
+#include "state/reducer.h"
+
+namespace indigosaddle::state {
+
+constexpr std::size_t kLaterRecords = 512;  // journal bytes set aside for what follows a Taken record
+
+class Keeper {
+ public:
+  explicit Keeper(State& state) : state_(state) {}
+
+  void operator()(const Taken& r) {
+    Owed& owed = state_.owed[r.serial];
+    owed.taken = r;
+    state_.by_id[r.id] = r.serial;
+    state_.last_serial = std::max(state_.last_serial, r.serial);
+    SetRoom(owed, RecordBytes(r) + kLaterRecords);
+  }
+  void operator()(const Connecting& r) { Attempt(r, true); }
+  void operator()(const Attempted& r) { Attempt(r, false); }
+  void operator()(const Settled& r) {
+    Owed* owed = Find(r.serial);
+    if (owed == nullptr || !owed->out) return;
+    owed->out = owed->connecting = false;
+    if (!MayHaveRun(r.result) || owed->past.may_have_run) return;
+    owed->past.may_have_run = true;
+    owed->past.first_run = owed->sent;
+    owed->past.run_zone = owed->out_zone;
+  }
+  void operator()(const Ended& r) {
+    Owed* owed = Find(r.serial);
+    if (owed == nullptr || owed->ended) return;
+    owed->ended = r;
+    state_.by_id.erase(owed->taken.id);
+    owed->taken.body = {};  // nothing is sent any more
+    SetRoom(*owed, r.end == End::kNothingOwed ? 0 : RecordBytes(owed->taken) + kLaterRecords);
+    if (r.end != End::kNothingOwed) {
+      state_.notices[r.serial] = {r.serial, owed->taken.id, r.end, r.not_before};
+    }
+  }
+  void operator()(const Noticed& r) {
+    state_.notices.erase(r.serial);
+    if (Owed* owed = Find(r.serial)) SetRoom(*owed, 0);
+  }
+  void operator()(const Resumed& r) {
+    if (Owed* owed = Find(r.serial)) owed->past = r.past;
+  }
+
+  Owed* Find(Serial serial) {
+    auto it = state_.owed.find(serial);
+    return it == state_.owed.end() ? nullptr : &it->second;
+  }
+
+  // Drops what is over, has no call out and owes no notice.
+  void Drop(Serial serial) {
+    auto it = state_.owed.find(serial);
+    if (it == state_.owed.end() || !it->second.ended || it->second.out) return;
+    if (state_.notices.contains(serial)) return;
+    SetRoom(it->second, 0);
+    state_.owed.erase(it);
+  }
+
+  // Takes back a message that was never taken on for good.
+  void Forget(Serial serial) {
+    auto it = state_.owed.find(serial);
+    if (it == state_.owed.end()) return;
+    SetRoom(it->second, 0);
+    state_.by_id.erase(it->second.taken.id);
+    state_.notices.erase(serial);
+    state_.owed.erase(it);
+  }
+
+ private:
+  template <typename T>
+  void Attempt(const T& r, bool connecting) {
+    Owed* owed = Find(r.serial);
+    if (owed == nullptr) return;
+    if (!owed->connecting) ++owed->past.attempts;
+    owed->out = true;
+    owed->connecting = connecting;
+    owed->sent = r.at;
+    owed->endpoint = r.endpoint;
+    owed->out_zone = r.zone;
+  }
+
+  void SetRoom(Owed& owed, std::size_t room) {
+    state_.room = state_.room - owed.room + room;
+    owed.room = room;
+  }
+
+  State& state_;
+};
+
+// All that is owed, as a journal of its own.
+inline std::string Snapshot(const State& state) {
+  std::string journal = JournalHead();
+  for (const auto& [serial, owed] : state.owed) {
+    if (owed.ended && !state.notices.contains(serial)) continue;
+    AppendRecord(journal, owed.taken);
+    Past past = owed.past;
+    if (owed.out && !owed.ended) --past.attempts;  // counted by the record of the attempt that is out
+    if (past.attempts > 0 || past.may_have_run) AppendRecord(journal, Resumed{serial, past});
+    if (owed.out && !owed.ended && owed.connecting) {
+      AppendRecord(journal, Connecting{serial, owed.endpoint, owed.out_zone, owed.sent});
+    } else if (owed.out && !owed.ended) {
+      AppendRecord(journal, Attempted{serial, owed.endpoint, owed.out_zone, owed.sent});
+    }
+    if (owed.ended) AppendRecord(journal, *owed.ended);
+  }
+  return journal;
+}
+
+}  // namespace indigosaddle::state
--- /dev/null
+++ b/src/state/ledger.h
@@ -0,0 +1,112 @@
+// What the reducer's events have in common: a record is kept and staged in one step, what is staged becomes
+// one write, and what waited for it is let go behind it. A part of the reducer.
+#pragma once
+
+#include <algorithm>
+#include <map>
+#include <string>
+#include <utility>
+
+#include "state/keeper.h"
+
+namespace indigosaddle::state {
+
+constexpr std::size_t kBlock = 512;  // the folder's files are counted in whole ones
+constexpr std::size_t kNoticesAtOnce = 500;
+
+class Ledger {
+ public:
+  Ledger(State& state, Effects& effects) : state_(state), effects_(effects), keep_(state) {}
+
+ protected:
+  // What is staged, behind `bytes`, becomes one write; answered by JournalWritten.
+  void Commit(std::string bytes) {
+    bytes += std::exchange(state_.staged, {});
+    const std::size_t reserve = state_.room + JournalHead().size() + 2 * kBlock;  // of a rewrite, rounded up
+    if (!bytes.empty() || state_.rewrite_due) {
+      if (state_.rewrite_due || state_.journal_size + bytes.size() + reserve > state_.limits.journal_bytes) {
+        bytes = Snapshot(state_);
+        state_.journal_size = bytes.size();
+        effects_.emplace_back(RewriteJournal{std::move(bytes)});
+      } else {
+        state_.journal_size += bytes.size();
+        effects_.emplace_back(AppendJournal{std::move(bytes)});
+      }
+    } else {
+      Release();
+    }
+  }
+
+  Message ForModule(const Owed& owed) const {
+    Message message;
+    message.id = owed.taken.serial;
+    message.message_class = Number(state_.limits.classes, owed.taken.message_class);
+    message.tenant = Number(state_.limits.tenants, owed.taken.tenant);
+    message.key = owed.taken.order_key;
+    message.give_up_at = owed.taken.give_up_at;
+    message.destination = owed.taken.destination;
+    message.place = owed.taken.serial;
+    message.past = owed.past;
+    message.ended = owed.ended.has_value();
+    return message;
+  }
+
+  static int Number(const std::map<std::string, int>& names, const std::string& name) {
+    const auto it = names.find(name);
+    return it == names.end() ? -1 : it->second;  // a name that the settings no longer have
+  }
+
+  template <typename T>
+  void Record_(const T& record) {
+    keep_(record);
+    AppendRecord(state_.staged, record);
+  }
+
+  void Answer_(const ClientRef& client, Answer answer, Micros not_before, const std::string& message_class) {
+    effects_.emplace_back(Reply{client, answer, not_before, message_class});
+  }
+
+  // A final answer: to the client while it waits, by a notice after that.
+  void Finish(Serial serial, End end, Micros not_before) {
+    Owed* owed = keep_.Find(serial);
+    if (owed == nullptr || owed->ended) return;
+    if (owed->unanswered) {
+      Answer_(*owed->unanswered, end == End::kReturned ? Answer::kBusy : Answer::kFailed, not_before,
+              owed->taken.message_class);
+      return Forget(serial);
+    }
+    SayOver(*owed, end == End::kReturned ? Over::kReturned : Over::kFailed);
+    Record_(Ended{serial, end, not_before});
+  }
+
+  void SayOver(const Owed& owed, Over over) {
+    const Taken& t = owed.taken;
+    effects_.emplace_back(
+        MessageOver{t.id, t.message_class, t.tenant, t.destination, over, owed.past.attempts, owed.taken_at});
+  }
+
+  void Forget(Serial serial) {
+    std::erase(state_.fresh, serial);
+    keep_.Forget(serial);
+  }
+
+  // The journal holds this turn: its replies, calls and notices may go out.
+  void Release() {
+    for (Serial serial : std::exchange(state_.fresh, {})) state_.owed.at(serial).unanswered.reset();
+    for (Effect& effect : std::exchange(state_.after_write, {})) effects_.push_back(std::move(effect));
+    if (state_.notices_out || state_.notices.empty()) return;
+    state_.notices_out = true;
+    PostNotices post;
+    for (const auto& [serial, notice] : state_.notices) {
+      if (post.notices.size() == kNoticesAtOnce) break;
+      post.notices.push_back(notice);
+    }
+    effects_.emplace_back(std::move(post));
+  }
+
+  State& state_;
+  Effects& effects_;
+  Keeper keep_;
+};
+
+}  // namespace indigosaddle::state
--- a/src/state/reducer.cpp
+++ b/src/state/reducer.cpp
@@ -4,128 +4,20 @@
 #include <set>
 #include <utility>
 
+#include "state/ledger.h"
+
 namespace indigosaddle::state {
 namespace {
 
-constexpr std::size_t kBlock = 512;         // the folder's files are counted in whole ones
-constexpr std::size_t kLaterRecords = 512;  // journal bytes set aside for what follows a Taken record
 constexpr std::size_t kOwedOfJournal = 45;  // percent of the folder that owed messages may fill: a rewrite
                                             // needs room beside the old file, and appends between rewrites
-constexpr std::size_t kNoticesAtOnce = 500;
 // How well a message's time is known here: its client counts it from when it sent the first byte, over a way
 // that takes as long as it takes.
 constexpr Micros kTimeDoubt = std::chrono::milliseconds(50);
 
-// ---- Records: what the journal holds is changed in memory here, live and in recovery alike ---------------
-
-class Keeper {
- public:
-  explicit Keeper(State& state) : state_(state) {}
-
-  void operator()(const Taken& r) {
-    Owed& owed = state_.owed[r.serial];
-    owed.taken = r;
-    state_.by_id[r.id] = r.serial;
-    state_.last_serial = std::max(state_.last_serial, r.serial);
-    SetRoom(owed, RecordBytes(r) + kLaterRecords);
-  }
-  void operator()(const Connecting& r) { Attempt(r, true); }
-  void operator()(const Attempted& r) { Attempt(r, false); }
-  void operator()(const Settled& r) {
-    Owed* owed = Find(r.serial);
-    if (owed == nullptr || !owed->out) return;
-    owed->out = owed->connecting = false;
-    if (!MayHaveRun(r.result) || owed->past.may_have_run) return;
-    owed->past.may_have_run = true;
-    owed->past.first_run = owed->sent;
-    owed->past.run_zone = owed->out_zone;
-  }
-  void operator()(const Ended& r) {
-    Owed* owed = Find(r.serial);
-    if (owed == nullptr || owed->ended) return;
-    owed->ended = r;
-    state_.by_id.erase(owed->taken.id);
-    owed->taken.body = {};  // nothing is sent any more
-    SetRoom(*owed, r.end == End::kNothingOwed ? 0 : RecordBytes(owed->taken) + kLaterRecords);
-    if (r.end != End::kNothingOwed) {
-      state_.notices[r.serial] = {r.serial, owed->taken.id, r.end, r.not_before};
-    }
-  }
-  void operator()(const Noticed& r) {
-    state_.notices.erase(r.serial);
-    if (Owed* owed = Find(r.serial)) SetRoom(*owed, 0);
-  }
-  void operator()(const Resumed& r) {
-    if (Owed* owed = Find(r.serial)) owed->past = r.past;
-  }
-
-  Owed* Find(Serial serial) {
-    auto it = state_.owed.find(serial);
-    return it == state_.owed.end() ? nullptr : &it->second;
-  }
-
-  // Drops what is over, has no call out and owes no notice.
-  void Drop(Serial serial) {
-    auto it = state_.owed.find(serial);
-    if (it == state_.owed.end() || !it->second.ended || it->second.out) return;
-    if (state_.notices.contains(serial)) return;
-    SetRoom(it->second, 0);
-    state_.owed.erase(it);
-  }
-
-  // Takes back a message that was never taken on for good.
-  void Forget(Serial serial) {
-    auto it = state_.owed.find(serial);
-    if (it == state_.owed.end()) return;
-    SetRoom(it->second, 0);
-    state_.by_id.erase(it->second.taken.id);
-    state_.notices.erase(serial);
-    state_.owed.erase(it);
-  }
-
- private:
-  template <typename T>
-  void Attempt(const T& r, bool connecting) {
-    Owed* owed = Find(r.serial);
-    if (owed == nullptr) return;
-    if (!owed->connecting) ++owed->past.attempts;
-    owed->out = true;
-    owed->connecting = connecting;
-    owed->sent = r.at;
-    owed->endpoint = r.endpoint;
-    owed->out_zone = r.zone;
-  }
-
-  void SetRoom(Owed& owed, std::size_t room) {
-    state_.room = state_.room - owed.room + room;
-    owed.room = room;
-  }
-
-  State& state_;
-};
-
-// All that is owed, as a journal of its own.
-std::string Snapshot(const State& state) {
-  std::string journal = JournalHead();
-  for (const auto& [serial, owed] : state.owed) {
-    if (owed.ended && !state.notices.contains(serial)) continue;
-    AppendRecord(journal, owed.taken);
-    Past past = owed.past;
-    if (owed.out && !owed.ended) --past.attempts;  // counted by the record of the attempt that is out
-    if (past.attempts > 0 || past.may_have_run) AppendRecord(journal, Resumed{serial, past});
-    if (owed.out && !owed.ended && owed.connecting) {
-      AppendRecord(journal, Connecting{serial, owed.endpoint, owed.out_zone, owed.sent});
-    } else if (owed.out && !owed.ended) {
-      AppendRecord(journal, Attempted{serial, owed.endpoint, owed.out_zone, owed.sent});
-    }
-    if (owed.ended) AppendRecord(journal, *owed.ended);
-  }
-  return journal;
-}
-
-class Reducer {
+class Reducer : private Ledger {
  public:
-  Reducer(State& state, Effects& effects) : state_(state), effects_(effects), keep_(state) {}
+  using Ledger::Ledger;
 
   // At the start, and again where a successor takes over what the process before it left: only what the
   // records bring is resumed, for messages that this process took are its own.
@@ -314,96 +206,6 @@
       }
     }
   }
-
- private:
-  // What is staged, behind `bytes`, becomes one write; answered by JournalWritten.
-  void Commit(std::string bytes) {
-    bytes += std::exchange(state_.staged, {});
-    const std::size_t reserve = state_.room + JournalHead().size() + 2 * kBlock;  // of a rewrite, rounded up
-    if (!bytes.empty() || state_.rewrite_due) {
-      if (state_.rewrite_due || state_.journal_size + bytes.size() + reserve > state_.limits.journal_bytes) {
-        bytes = Snapshot(state_);
-        state_.journal_size = bytes.size();
-        effects_.emplace_back(RewriteJournal{std::move(bytes)});
-      } else {
-        state_.journal_size += bytes.size();
-        effects_.emplace_back(AppendJournal{std::move(bytes)});
-      }
-    } else {
-      Release();
-    }
-  }
-
-  Message ForModule(const Owed& owed) const {
-    Message message;
-    message.id = owed.taken.serial;
-    message.message_class = Number(state_.limits.classes, owed.taken.message_class);
-    message.tenant = Number(state_.limits.tenants, owed.taken.tenant);
-    message.key = owed.taken.order_key;
-    message.give_up_at = owed.taken.give_up_at;
-    message.destination = owed.taken.destination;
-    message.place = owed.taken.serial;
-    message.past = owed.past;
-    message.ended = owed.ended.has_value();
-    return message;
-  }
-
-  static int Number(const std::map<std::string, int>& names, const std::string& name) {
-    const auto it = names.find(name);
-    return it == names.end() ? -1 : it->second;  // a name that the settings no longer have
-  }
-
-  template <typename T>
-  void Record_(const T& record) {
-    keep_(record);
-    AppendRecord(state_.staged, record);
-  }
-
-  void Answer_(const ClientRef& client, Answer answer, Micros not_before, const std::string& message_class) {
-    effects_.emplace_back(Reply{client, answer, not_before, message_class});
-  }
-
-  // A final answer: to the client while it waits, by a notice after that.
-  void Finish(Serial serial, End end, Micros not_before) {
-    Owed* owed = keep_.Find(serial);
-    if (owed == nullptr || owed->ended) return;
-    if (owed->unanswered) {
-      Answer_(*owed->unanswered, end == End::kReturned ? Answer::kBusy : Answer::kFailed, not_before,
-              owed->taken.message_class);
-      return Forget(serial);
-    }
-    SayOver(*owed, end == End::kReturned ? Over::kReturned : Over::kFailed);
-    Record_(Ended{serial, end, not_before});
-  }
-
-  void SayOver(const Owed& owed, Over over) {
-    const Taken& t = owed.taken;
-    effects_.emplace_back(
-        MessageOver{t.id, t.message_class, t.tenant, t.destination, over, owed.past.attempts, owed.taken_at});
-  }
-
-  void Forget(Serial serial) {
-    std::erase(state_.fresh, serial);
-    keep_.Forget(serial);
-  }
-
-  // The journal holds this turn: its replies, calls and notices may go out.
-  void Release() {
-    for (Serial serial : std::exchange(state_.fresh, {})) state_.owed.at(serial).unanswered.reset();
-    for (Effect& effect : std::exchange(state_.after_write, {})) effects_.push_back(std::move(effect));
-    if (state_.notices_out || state_.notices.empty()) return;
-    state_.notices_out = true;
-    PostNotices post;
-    for (const auto& [serial, notice] : state_.notices) {
-      if (post.notices.size() == kNoticesAtOnce) break;
-      post.notices.push_back(notice);
-    }
-    effects_.emplace_back(std::move(post));
-  }
-
-  State& state_;
-  Effects& effects_;
-  Keeper keep_;
 };
 
 }  // namespace
--- a/tests/node_random_settings_test.cpp
+++ b/tests/node_random_settings_test.cpp
@@ -37,16 +37,23 @@
   return c;
 }
 
-// Starts, takes and delivers one message of each class, whatever the settings say, and stops with 0.
+std::vector<std::string> Names(int from, int to) {
+  std::set<std::string> names;
+  const auto most = static_cast<std::size_t>(*rc::gen::inRange(from, to));
+  while (names.size() < most) names.insert(Name());
+  return {names.begin(), names.end()};
+}
+
+// Starts, takes and delivers one message of each class, whatever the settings say, and stops with 0. The
+// destination has one to three endpoints of any kinds and zones, with a limit in common or one for each.
 TEST(RandomSettings, EachClassIsDelivered) {
   rc::check([] {
     PlatformStandIn platform;
-    EndpointStandIn endpoint;
+    std::list<EndpointStandIn> endpoints;
     NodeProcess node(platform.address());
     Json& settings = node.config["settings"];
-    std::set<std::string> classes, tenants;
-    while (classes.size() < static_cast<std::size_t>(*rc::gen::inRange(1, 5))) classes.insert(Name());
-    while (tenants.size() < static_cast<std::size_t>(*rc::gen::inRange(1, 4))) tenants.insert(Name());
+    const std::vector<std::string> classes = Names(1, 5), tenants = Names(1, 4), zones = Names(1, 4),
+                                   kinds = Names(1, 4);
     settings["classes"] = Json::array();
     for (const std::string& name : classes) settings["classes"].push_back(ClassOf(name));
     settings["orgs"] = Json::array();
@@ -64,17 +71,38 @@
     settings["guarantees"]["turnGap"] = Number(0, 500);
     settings["overShareWorth"] = Number(0, 100) / 100;
     settings["a_key_that_nobody_knows"] = {{"x", 1}};  // passed over
-    platform.Set(PlatformStandIn::Member("s-1", endpoint.address(), 7));
+    settings["zones"] = zones;
+    settings["zone"] = *rc::gen::inRange<std::size_t>(0, zones.size());
+    settings["machineTypes"] = kinds;
+    settings["familyInfo"]["perCall"] = Json::array();
+    settings["familyInfo"]["separateRoutes"] = Json::array();
+    for (std::size_t kind = 0; kind < kinds.size(); ++kind) {
+      settings["familyInfo"]["perCall"].push_back(*rc::gen::inRange(1, 6));
+      settings["familyInfo"]["separateRoutes"].push_back(*rc::gen::arbitrary<bool>());
+    }
+    const int routes = *rc::gen::inRange(1, 4);
+    for (int route = 1; route <= routes; ++route) {
+      Json member =
+          PlatformStandIn::Member("s-" + std::to_string(route), endpoints.emplace_back().address(), 7);
+      member["site"] = *rc::gen::elementOf(zones);
+      member["class"] = *rc::gen::elementOf(kinds);
+      platform.Set(member);
+    }
+    const auto calls_for = [&](const std::string& id) {
+      int calls = 0;
+      for (EndpointStandIn& endpoint : endpoints) calls += endpoint.CallsFor(id);
+      return calls;
+    };
     RC_ASSERT(node.Start());
     int number = 0;
     for (const std::string& name : classes) {
       const std::string id = "m" + std::to_string(++number),
                         command = ClientStandIn::Command(
                             {"ENQUEUE", "00000000000000ab", id,
-                             "c=" + name + ",t=" + *tenants.begin() + ",k=key" + id + ",d=60000,dest=7",
+                             "c=" + name + ",t=" + tenants.front() + ",k=key" + id + ",d=60000,dest=7",
                              "body"});
       RC_ASSERT(Eventually([&] { return ClientStandIn(node.port).Ask(command) == "+OK"; }));
-      RC_ASSERT(Eventually([&] { return endpoint.CallsFor(id) == 1; }));
+      RC_ASSERT(Eventually([&] { return calls_for(id) == 1; }));
     }
     RC_ASSERT(platform.notices().empty());
     node.Signal(SIGTERM);
