--- a/tests/node_control_test.cpp
+++ b/tests/node_control_test.cpp
@@ -50,14 +50,17 @@
 // As `printf ... | nc -U` does: what was asked before the end of the sending is answered, then the node ends.
 TEST_F(ChangesTest, APeerThatEndsItsSendingHasItsAnswers) {
   ASSERT_TRUE(node.Start());
+  const std::size_t one = ControlStandIn(node).Ask({{"op", "show"}}).dump().size();
+  const auto many = static_cast<std::ptrdiff_t>(600'000 / one);  // more than the system holds for it
   ControlStandIn peer(node);
   std::string asked;
-  for (int i = 0; i < 10; ++i) asked += "{\"op\":\"show\"}\n";
+  for (std::ptrdiff_t i = 0; i < many; ++i) asked += "{\"op\":\"show\"}\n";
   ASSERT_TRUE(peer.socket().Write(asked));
   shutdown(peer.socket().get(), SHUT_WR);
+  ASSERT_TRUE(Eventually([&] { return ControlStandIn(node).Ask({{"op", "status"}}).is_object(); }));
   std::string answers;
   for (std::string more = peer.socket().Read(); !more.empty(); more = peer.socket().Read()) answers += more;
-  EXPECT_EQ(std::count(answers.begin(), answers.end(), '\n'), 10);
+  EXPECT_EQ(std::count(answers.begin(), answers.end(), '\n'), many);
 }
 
 TEST_F(ChangesTest, AnotherUserIsRefusedByItsCredentials) {
--- a/tests/resp_server_endings_test.cpp
+++ b/tests/resp_server_endings_test.cpp
@@ -160,13 +160,15 @@
   ASSERT_EQ(Next(quiet), "+PONG\r\n");
   ASSERT_EQ(Next(quiet), "ended");
   ASSERT_TRUE(quiet.Write(kPing));
-  EXPECT_EQ(Next(quiet), "ended");
+  Step();
+  pollfd state{quiet.get(), 0, 0};
+  poll(&state, 1, 0);
+  EXPECT_EQ(state.revents & (POLLERR | POLLHUP), 0) << "reset";
   for (int step = 0; step < 1000 && server->connections() > 0; ++step) {
     Step(1);
     std::this_thread::sleep_for(milliseconds(1));
   }
   EXPECT_EQ(server->connections(), 0u);  // and does not linger for long
-  EXPECT_EQ(Next(quiet), "ended");
 }
 
 }  // namespace
