--- a/tests/journal_file_test.cpp
+++ b/tests/journal_file_test.cpp
@@ -28,6 +28,17 @@
     EXPECT_TRUE(file.Read(most, bytes, trouble_));
     return bytes;
   }
+  // An owner writes "owner " and ends; the successor, which has written "successor ", claims its place.
+  void TakePlaceOfAnOwner(JournalFile& successor) {
+    {
+      JournalFile owner(folder_);
+      ASSERT_EQ(owner.Claim(), JournalFile::Role::kOwner);
+      ASSERT_TRUE(owner.Rewrite("owner "));
+      ASSERT_EQ(successor.Claim(), JournalFile::Role::kSuccessor);
+      ASSERT_TRUE(successor.Rewrite("successor "));
+    }
+    ASSERT_EQ(successor.Claim(), JournalFile::Role::kOwner);
+  }
   void Put(const std::string& name, const std::string& bytes) {
     std::ofstream(folder_ + "/" + name, std::ios::binary) << bytes;
   }
@@ -73,14 +84,7 @@
 // What the process before it left can't be read: it is not written over, and its own file goes on.
 TEST_F(JournalFolder, ASuccessorThatCantReadTheOwnersJournalKeepsItsOwn) {
   JournalFile successor(folder_);
-  {
-    JournalFile owner(folder_);
-    ASSERT_EQ(owner.Claim(), JournalFile::Role::kOwner);
-    ASSERT_TRUE(owner.Rewrite("owner "));
-    ASSERT_EQ(successor.Claim(), JournalFile::Role::kSuccessor);
-    ASSERT_TRUE(successor.Rewrite("successor "));
-  }
-  ASSERT_EQ(successor.Claim(), JournalFile::Role::kOwner);
+  TakePlaceOfAnOwner(successor);
   std::string bytes;
   ASSERT_FALSE(successor.Read(3, bytes, trouble_));
   EXPECT_TRUE(successor.Append("more "));
@@ -146,14 +150,7 @@
 
 TEST_F(JournalFolder, ASuccessorBecomesTheOwnerAndAnotherMayCome) {
   JournalFile successor(folder_);
-  {
-    JournalFile owner(folder_);
-    ASSERT_EQ(owner.Claim(), JournalFile::Role::kOwner);
-    ASSERT_TRUE(owner.Rewrite("owner "));
-    ASSERT_EQ(successor.Claim(), JournalFile::Role::kSuccessor);
-    ASSERT_TRUE(successor.Rewrite("successor "));
-  }
-  ASSERT_EQ(successor.Claim(), JournalFile::Role::kOwner);
+  TakePlaceOfAnOwner(successor);
   EXPECT_EQ(Read(), "owner ");
   std::string left;
   ASSERT_TRUE(successor.Read(1000, left, trouble_));
