The test of exchanges that never end looks at their own sockets, not at a counter that others fill

It asserted 16 failed exchanges, which the agent's own attempts at members that are not there fill within a second: it passed in 1.4 s, before any of the held ones had ended. It now waits for the end of each of the 20 sockets, and takes 3.0 s.

--- a/tests/fleet/agent_test.cpp
+++ b/tests/fleet/agent_test.cpp
@@ -3,6 +3,7 @@
 #include "fleet/agent.h"
 
 #include <gtest/gtest.h>
+#include <poll.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -104,7 +105,12 @@
     ASSERT_EQ(connect(held.back()->get(), reinterpret_cast<sockaddr*>(&at), sizeof(sockaddr_in)), 0);
     ASSERT_TRUE(base::WriteAll(held.back()->get(), std::string("\0\0", 2)));  // half a length
   }
-  ASSERT_TRUE(Soon([&] { return one->agent->counters().exchanges_failed >= 16; }));
+  for (const auto& socket : held) {  // ended by the agent, each of them
+    pollfd wait{socket->get(), POLLIN, 0};
+    ASSERT_EQ(poll(&wait, 1, 30000), 1);
+    char byte = 0;
+    EXPECT_LE(recv(socket->get(), &byte, 1, MSG_DONTWAIT), 0);
+  }
   ASSERT_EQ(other->agent->Start(), "");
   EXPECT_TRUE(Soon([&] { return one->agent->counters().exchanges >= 1; }));
 }
