--- a/tests/fault_shim.cpp
+++ b/tests/fault_shim.cpp
@@ -117,6 +117,18 @@
   return next(descriptor, parts, count);
 }
 
+int close(int descriptor) {
+  static const auto next = Next(&close, "close");
+  int listens = 0;
+  socklen_t size = sizeof listens;
+  if (Plan().slow_close != 0 && getsockopt(descriptor, SOL_SOCKET, SO_ACCEPTCONN, &listens, &size) == 0 &&
+      listens != 0) {
+    ++Plan().failed;
+    usleep(static_cast<useconds_t>(Plan().slow_close) * 1000);
+  }
+  return next(descriptor);
+}
+
 int open(const char* path, int flags, ...) {
   static const auto next = Next(&open, "open");
   mode_t mode = 0;
