The listener's close resets nobody: it takes no new connection first, and waits for accept

The listener takes a filter that drops new connections before the last accept, so that there is no moment between that and the close; where accept fails or there is no room it stays open and is tried again every 10 ms; who has connected and not asked is left 0.2 s later, as on a hand-over already. The process ends by 3.55 s behind SIGTERM (3.4 s before), with 0.15 s to the kill.

--- a/src/base/log_events.h
+++ b/src/base/log_events.h
@@ -23,7 +23,7 @@
       {"calls", "most connections to endpoints"},
       {"disk", "most that the state folder may hold"}}}};
 inline constexpr Event<kCount> kStopping{
-    "stopping", kInfo, "A stop was asked for; it ends within 3.4 s.", {{{"open", "messages held"}}}};
+    "stopping", kInfo, "A stop was asked for; it ends within 3.6 s.", {{{"open", "messages held"}}}};
 inline constexpr Event<kCount, kCount> kStopped{"stopped",
                                                 kInfo,
                                                 "The process ends; what is owed stays in the journal.",
--- a/src/net/listen_socket.cpp
+++ b/src/net/listen_socket.cpp
@@ -1,5 +1,6 @@
 #include "net/listen_socket.h"
 
+#include <linux/filter.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -67,6 +68,15 @@
   });
 }
 
+// A connection that comes between the last accept and the close would be reset, with its request unread. A
+// filter that drops every packet of the listener leaves no such moment; connections in the queue don't carry
+// it.
+void ListenSocket::RefuseNew() {
+  sock_filter drop_all{BPF_RET | BPF_K, 0, 0, 0};
+  const sock_fprog program{1, &drop_all};
+  setsockopt(descriptor_, SOL_SOCKET, SO_ATTACH_FILTER, &program, sizeof program);
+}
+
 void ListenSocket::Close() {
   if (!open()) return;
   Poll* poll = std::exchange(poll_, nullptr);
--- a/src/net/listen_socket.h
+++ b/src/net/listen_socket.h
@@ -28,7 +28,9 @@
   int Accept();
   void Pause();   // says nothing more until Resume; who comes waits in the system's queue
   void Resume();  // says at once if somebody waits
-  void Close();   // who still waits is reset: take them first
+  // The system completes no further connection for this socket; those in its queue can still be accepted.
+  void RefuseNew();
+  void Close();  // resets who still waits: RefuseNew, then accept them first
 
  private:
   struct Poll {
--- a/src/net/resp_server.cpp
+++ b/src/net/resp_server.cpp
@@ -47,13 +47,16 @@
 
 int RespServer::Listen(const std::string& address) { return listener_.Listen(address, kBacklog); }
 
-// Connections that the system has made and the loop has not seen yet would be reset with the listener, with a
-// client's request under way on them.
-void RespServer::StopListening() {
+bool RespServer::StopListening() {
+  if (!listener_.open()) return true;
+  listener_.RefuseNew();
+  waiting_ = false;
   while (AdmitOne()) {
   }
-  waiting_ = false;
+  if (waiting_)
+    return false;  // accept fails for a moment, or there is no room: closed now, they would be reset
   listener_.Close();
+  return true;
 }
 
 // The first who waits is sure to be there; for those behind, room is made when the loop says that they wait.
--- a/src/net/resp_server.h
+++ b/src/net/resp_server.h
@@ -52,7 +52,8 @@
 
   int Listen(const std::string& address);  // a negative code where that fails
   std::string address() const { return listener_.address(); }
-  void StopListening();                                // who has connected by then is served still
+  // Who has connected by then is served still. False: some of them can't be accepted yet; to be called again.
+  bool StopListening();
   void SetLimits(Limits limits) { limits_ = limits; }  // connections that stand are not cut
   void Reply(std::uint64_t connection, std::uint64_t command, std::string line);
   bool Gone(std::uint64_t connection) const;  // closed by the client, read or not
--- a/src/node/node_stop.cpp
+++ b/src/node/node_stop.cpp
@@ -14,11 +14,12 @@
 // listens, so that one whose request crosses the closing finds it once more.
 constexpr Micros kLeaveClientsAfter = milliseconds(3000);
 constexpr Micros kStopListeningAfter = milliseconds(3200);
-constexpr Micros kFinishAfter = milliseconds(3400);
-constexpr Micros kLeaveAgain = milliseconds(10);
-// A process that is replaced hands over early: once no call is out. Clients that have connected just now and
-// not asked yet have so long.
+// Clients that have connected by then and not asked yet have so long: what they ask is lost once they are
+// left.
 constexpr Micros kLeaveUnasked = milliseconds(200);
+// With room for a process that is held up for 0.15 s.
+constexpr Micros kFinishAfter = milliseconds(3550);
+constexpr Micros kLeaveAgain = milliseconds(10);
 
 }  // namespace
 
@@ -39,11 +40,10 @@
 
 void Node::LeaveClients() {
   const Micros now = loop_.Now();
-  const bool last = now >= stop_listening_at_;
-  if (last) server_.StopListening();
-  const bool left = server_.CloseQuiet(last && (!handing_over_ || now >= stop_listening_at_ + kLeaveUnasked));
+  const bool closed = now >= stop_listening_at_ && server_.StopListening();
+  const bool left = server_.CloseQuiet(now >= stop_listening_at_ + kLeaveUnasked);
   const bool over = handing_over_ ? pool_.calls() == 0 : state_.open() == 0 && state_.notices.empty();
-  if (last && left && over && events_.empty()) return Finish();
+  if (closed && left && over && events_.empty()) return Finish();
   leave_timer_.Start(kLeaveAgain);
 }
 
