--- /dev/null
+++ b/tests/rule_changes.h
@@ -0,0 +1,75 @@
+// A built node whose classes change their rules while messages are open, come in and are handed in again; its
+// endpoint takes each call whole and breaks the connection behind its last byte, so that every call may have
+// run.
+#pragma once
+
+#include <csignal>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "stand_ins.h"
+
+namespace indigosaddle::testing {
+
+using std::chrono::milliseconds;
+
+class RuleChanges : public NodeTest {
+ protected:
+  static constexpr const char* kClass = "notice";
+
+  RuleChanges()
+      : endpoint_([this](Socket&, const HttpRequest&, int) {
+          std::this_thread::sleep_for(milliseconds(break_after_));
+          return false;
+        }) {
+    platform.Set(PlatformStandIn::Member("s-1", endpoint_.address(), 7));
+    ListSettler();
+    node.config["settings"]["classes"].push_back(node.config["settings"]["classes"][0]);
+    Class()["name"] = kClass;
+    Class()["deadline"] = 8000.0;
+    SetEffect("non_idempotent");
+  }
+
+  // The class whose rules change, in the file that the node is to read next.
+  nlohmann::json& Class() { return node.config["settings"]["classes"].back(); }
+  void SetEffect(const std::string& effect) { Class()["effect"] = effect; }
+
+  void StartNode() {
+    ASSERT_TRUE(node.Start());
+    Settle("first");
+  }
+  // Writes the file, sends SIGHUP and waits until the change is in force.
+  void Reload() {
+    const std::size_t before = Changes();
+    node.WriteConfig(node.config.dump());
+    node.Signal(SIGHUP);
+    ASSERT_TRUE(Eventually([&] { return Changes() > before; }));
+  }
+  std::size_t Changes() const { return CountLines("class.rules_changed"); }
+  std::size_t CountLines(const std::string& event) const {
+    const std::string log = node.log();
+    std::size_t count = 0;
+    for (std::size_t at = log.find(event); at != std::string::npos; at = log.find(event, at + 1)) ++count;
+    return count;
+  }
+
+  // Hands a message of the class in; `left` of its time, and what else its client tells.
+  std::string HandIn(const std::string& id, int left = 8000, const std::string& more = "") {
+    return Enqueue(id, std::string("c=") + kClass + ",d=" + std::to_string(left) + ",dest=7" + more);
+  }
+  // It had one call, which may have run, and its client was told that it failed: nothing was promised.
+  void ExpectOneCallAndFailure(const std::string& id) {
+    EXPECT_TRUE(Eventually([&] { return platform.notices().contains(id); })) << id << " has no end";
+    EXPECT_TRUE(HasNotice(id, "failed")) << id << " was handed back though it may have run";
+    EXPECT_EQ(endpoint_.CallsFor(id), 1) << id << " was sent again though it may have run";
+  }
+  void ExpectRepeated(const std::string& id) {
+    EXPECT_TRUE(Eventually([&] { return endpoint_.CallsFor(id) > 1; })) << id << " was not sent again";
+  }
+
+  std::atomic<int> break_after_{0};  // milliseconds behind a call's last byte
+  EndpointStandIn endpoint_;
+};
+
+}  // namespace indigosaddle::testing
