--- a/src/base/log_events.h
+++ b/src/base/log_events.h
@@ -4,6 +4,7 @@
 #pragma once
 
 #include "base/log.h"
+#include "base/log_events_config.h"
 #include "base/log_events_delivery.h"
 #include "base/log_events_fleet.h"
 
@@ -30,7 +31,7 @@
                                                 {{{"open", "messages that the next process resumes"},
                                                   {"notices", "that the platform has not answered yet"}}}};
 inline constexpr Event<kCount, kCount, kCount, kCount, kCount, kCount, kCount, kCount, kBytes, kText, kCount,
-                       kCount, kNumber, kCount, kText>
+                       kCount, kNumber, kCount, kText, kCount>
     kReport{"report",
             kInfo,
             "Every 10 s: what was done since the start, what is held now.",
@@ -48,7 +49,8 @@
               {"recovering", "destinations that are not warm now"},
               {"slow_start_calls", "made out of slow start's allowances since the start"},
               {"watch_losses", "of the list's watch, told or not, since the start"},
-              {"clients_ended", "how clients' connections ended, counted since the start"}}}};
+              {"clients_ended", "how clients' connections ended, counted since the start"},
+              {"rules_unsure", "messages handed in whose birth several rules may bind, since the start"}}}};
 inline constexpr Event<kCount, kText> kWatch{
     "watch",
     kInfo,
@@ -121,65 +123,6 @@
     "The platform could not read a notice; it is given up and its client hears nothing.",
     {{{"line", "the notice"}}}};
 
-// ---- Configuration ----------------------------------------------------------------------------------------
-inline constexpr Event<kCount, kText> kConfigServes{
-    "config.serves",
-    kInfo,
-    "Which generation of the operator's configuration this process starts with.",
-    {{{"generation", "its number"}, {"from", "the file or the state folder"}}}};
-inline constexpr Event<kText, kText> kConfigRefused{
-    "config.refused",
-    kWarn,
-    "A change was refused whole; nothing of it was applied.",
-    {{{"author", "who asked"}, {"reason", "every fault found"}}}};
-inline constexpr Event<kCount, kText, kText, kMillis> kConfigOnTrial{"config.on_trial",
-                                                                     kInfo,
-                                                                     "A change is in force and watched.",
-                                                                     {{{"generation", "its number"},
-                                                                       {"author", "who asked"},
-                                                                       {"reason", "as given with it"},
-                                                                       {"trial", "how long it is watched"}}}};
-inline constexpr Event<kCount, kText> kConfigKept{
-    "config.kept",
-    kInfo,
-    "A change is kept: the next start uses it.",
-    {{{"generation", "its number"}, {"why", "what the trial showed"}}}};
-inline constexpr Event<kCount, kCount, kText> kConfigUndone{
-    "config.undone",
-    kWarn,
-    "A change was undone; the generation before is in force again.",
-    {{{"generation", "its number"}, {"back_to", "the one in force now"}, {"why", "what undid it"}}}};
-inline constexpr Event<kCount, kText> kConfigInterrupted{
-    "config.interrupted",
-    kWarn,
-    "The process ended while a change was on trial; the last kept one serves.",
-    {{{"generation", "that was on trial"}, {"next", "what becomes of it"}}}};
-inline constexpr Event<kText> kConfigNeedsRestart{
-    "config.needs_restart",
-    kWarn,
-    "The platform's file changes a value that holds until a restart; the old one goes on.",
-    {{{"value", "its name"}}}};
-inline constexpr Event<kText, kText, kText> kClassRules{
-    "class.rules_changed",
-    kInfo,
-    "The rules of a class for repeats and order changed; messages keep those that they were born under.",
-    {{{"class", "its name"},
-      {"from", "the rules before; empty: it is new"},
-      {"to", "the rules now; empty: it was dropped"}}}};
-inline constexpr Event<kText> kConfigUnusable{
-    "config.unusable",
-    kError,
-    "A configuration file can't be used; the old configuration goes on.",
-    {{{"reason", "every fault found"}}}};
-inline constexpr Event<kText> kConfigSame{"config.same",
-                                          kInfo,
-                                          "SIGHUP: nothing that may change while running has changed.",
-                                          {{{"discovery", "its address"}}}};
-inline constexpr Event<kText> kConfigStoreFailed{"config.store_failed",
-                                                 kError,
-                                                 "The generations can't be written to the state folder.",
-                                                 {{{"reason", "as the system says it"}}}};
-
 // ---- Control socket ---------------------------------------------------------------------------------------
 inline constexpr Event<kText> kControlOpen{
     "control.open", kInfo, "The control socket takes requests.", {{{"path", "of the socket"}}}};
@@ -236,9 +179,10 @@
       kWatchBack, kDiscoveryMoved, kNoticeUnreadable, kMessageEnded, kMessageDelivered, kMessageResumed,
       kRequestRefused, kCallEnded, kCallDelivered, kRecovery, kClientEnded, kConfigServes, kConfigRefused,
       kConfigOnTrial, kConfigKept, kConfigUndone, kConfigInterrupted, kConfigNeedsRestart, kClassRules,
-      kConfigUnusable, kConfigSame, kConfigStoreFailed, kControlOpen, kControlFailed, kControlRefused,
-      kJournalShared, kJournalTakenOver, kQuiesced, kResumedWork, kFleetMember, kFleetStanding, kFleetLease,
-      kFleetSite, kFleetSenders, kFleetTrouble, kLogHeldBack, kLogDropped);
+      kRulesUnknown, kRulesUnsure, kConfigUnusable, kConfigSame, kConfigStoreFailed, kControlOpen,
+      kControlFailed, kControlRefused, kJournalShared, kJournalTakenOver, kQuiesced, kResumedWork,
+      kFleetMember, kFleetStanding, kFleetLease, kFleetSite, kFleetSenders, kFleetTrouble, kLogHeldBack,
+      kLogDropped);
 }
 
 }  // namespace indigosaddle::base
--- a/src/base/log_events_delivery.h
+++ b/src/base/log_events_delivery.h
@@ -65,6 +65,13 @@
       {"latency", "since it was sent"},
       {"wait", "0"},
       {"rules", "for repeats and order, by which its message goes"}}}};
+inline constexpr Event<kText, kText, kText> kRulesUnsure{
+    "message.rules_unsure",
+    kInfo,
+    "A message handed in may have been written under several rules of its class; it goes by the strictest.",
+    {{{"id", "as the client gave it"},
+      {"class", "of the message"},
+      {"rules", "for repeats and order, by which it goes"}}}};
 inline constexpr Event<kText, kText, kText, kText, kText> kRequestRefused{
     "request.refused",
     kInfo,
--- a/src/brain.h
+++ b/src/brain.h
@@ -86,12 +86,14 @@
   double weight = 0;  // calls a second that its destination takes, as Settings::weights says
 };
 
+constexpr int kUnknownZone = -2;  // matches no endpoint's zone, known or not
+
 // What was tried before a restart for a message that is resumed after it.
 struct Past {
   int attempts = 0;
   bool may_have_run = false;
   Micros first_run{0};  // send time, as run_zone is the zone, of the first attempt that may have run
-  int run_zone = 0;
+  int run_zone = 0;     // kUnknownZone: no endpoint's
 };
 
 struct Message {
@@ -104,6 +106,7 @@
   std::uint64_t place = 0;  // in the order taken, of its key; equal: as told
   Past past{};
   bool ended = false;  // before a restart; its answer is still on its way
+  RepeatRules rules;   // from its birth, whatever its class says by now
 };
 
 // Garbled: it ran and was answered, but with what can't be read.
@@ -203,9 +206,9 @@
   virtual void OnStop(Micros at) = 0;           // the process ends then; what is held is resumed after it
   virtual void OnZoneUnsure(
       int zone) = 0;  // agreed with other senders: endpoints there may have gone down unseen
-  // In force from this turn on, for what is held as well. Classes and tenants keep their numbers, new ones
-  // follow; seed, tick, zones, how lists come, and the effects, groups and keys' lives of the classes so far
-  // stay as they were. What was learned of lanes is kept.
+  // In force from this turn on, for what is held as well; messages keep the rules that they carry. Classes
+  // and tenants keep their numbers, new ones follow; seed, tick, zones and how lists come stay as they were.
+  // What was learned of lanes is kept.
   virtual void OnSettings(Settings settings) = 0;
   virtual void OnTurnEnd() = 0;
   // Between turns: whether a call that was sent, but waits for its connection, may still begin.
--- a/src/brain/answers.h
+++ b/src/brain/answers.h
@@ -31,10 +31,21 @@
     RoomOf(held).by_time.emplace(newest, &held), RoomOf(held).by_id.emplace(id, &held);
   }
 
+  // A place in its key's order, if it has one: what was resumed goes before all but an attempt that is out.
+  void JoinOrder(Held& held) {
+    const Message& message = held.message;
+    if (held.ordered || (held.ended && !held.untold) || !HasPlaceInOrder(held)) return;
+    held.ordered = true;
+    auto& order = keys_[message.key].order;
+    const auto older = [&](auto at, auto id) { return !held_.at(id).out && at < held_.at(id).message.place; };
+    order.insert(std::upper_bound(order.begin(), order.end(), message.place, older), message.id);
+    if (message.past.may_have_run) keys_[message.key].rest_until = now_ + set_.turn_gap;  // may run on
+  }
+
   // A key's turn passes on when its message is over, which its answer has told, and has no attempt out.
   void Release(const Held& held) {
-    if (!held.ended || held.out || (held.untold && InTurn(held))) return;
-    if (InTurn(held)) std::erase(keys_[held.message.key].order, held.message.id);  // dropped once rested
+    if (!held.ended || held.out || (held.untold && held.ordered)) return;
+    if (held.ordered) std::erase(keys_[held.message.key].order, held.message.id);  // dropped once rested
     done_.push_back(held.message.id);
   }
 
--- a/src/brain/brain.cpp
+++ b/src/brain/brain.cpp
@@ -1,19 +1,18 @@
 // Events of a turn: what the module hears, and when it acts. Its interface is src/brain.h.
-#include "brain/sending.h"
+#include "brain/outcomes.h"
 
 namespace indigosaddle::brain {
 
 constexpr Micros kForgetAfter = seconds(60), kSweepEvery = seconds(5);  // idle: dropped; between such walks
-constexpr double kLatencyMemory = 0.15, kLimitInUse = 0.8;  // weight of the newest; share left, less: in use
-constexpr int kExplainedRun = 3, kNotSentRun = 3;  // in a row: need no outage, of most kinds; not begun
-constexpr Micros kRecheck = milliseconds(20);      // while messages wait, look again this often
+constexpr Micros kRecheck = milliseconds(20);  // while messages wait, look again this often
 
-class Impl final : public Brain, private Sending {
+class Impl final : public Brain, private Outcomes {
  public:
   Impl(Settings settings, Host& host) {
     set_ = std::move(settings), host_ = &host;
     set_.senders = std::max(1, set_.senders), random_.seed(set_.seed);
     watch_due_ = set_.discovery == Discovery::kOnRequest ? Micros::min() : Micros::max();
+    SetUnknownClass();
   }
 
   void OnTurnStart(Micros now) override { now_ = now, timer_ = timer_ <= now ? Micros::max() : timer_; }
@@ -58,16 +57,11 @@
         CountAsked(route.own, 1.0 / static_cast<double>(held.home->routes.size()));
     CountAsked(held.home->shared, 1);
     held.over_share = TakeShare(message.tenant);
-    ++open_, Place(held);
+    ++open_, Place(held), JoinOrder(held);
     if (message.ended)
       held.untold = true, End(held);
     else if (message.past.attempts > 0)
       DistrustAll(*held.home);
-    if (!InTurn(held)) return;
-    auto& order = keys_[message.key].order;  // what was resumed goes before all but an attempt that is out
-    const auto older = [&](auto at, auto id) { return !held_.at(id).out && at < held_.at(id).message.place; };
-    order.insert(std::upper_bound(order.begin(), order.end(), message.place, older), message.id);
-    if (message.past.may_have_run) keys_[message.key].rest_until = now_ + set_.turn_gap;  // may run on
   }
 
   void OnOutcome(const Outcome& outcome) override {
@@ -76,63 +70,10 @@
     Held& held = it->second;
     Call& call = calls_.at(held.call);
     Route& route = *Find(*call.home, call.endpoint);  // kept while a call is out
-    Lane& lane = LaneOf(route);
     held.out = false, held.untold |= outcome.untold;
-    const Result result = outcome.result;
-    const bool ok = result == Result::kOk, garbled = result == Result::kGarbled;
-    const bool may_run_on =
-        result == Result::kTimeout || result == Result::kReset || result == Result::kCancelled;
-    if ((may_run_on || garbled || result == Result::kError) && !held.message.past.may_have_run) {
-      held.message.past = {held.message.past.attempts, true, call.sent, route.endpoint.zone};
-    }
-    if (result == Result::kTimeout) ++held.timeouts;
-    // Once is a slot that was just taken; in a run this node is short of something, and attempts are to
-    // outlast it.
-    route.not_sent = result == Result::kNotSent ? route.not_sent + 1 : 0;
-    if (route.not_sent >= kNotSentRun)
-      route.rest_until = std::max(route.rest_until, now_ + ToMicros((1 + Draw()) * Seconds(kMoment)));
-    if (InTurn(held) && may_run_on) keys_[held.message.key].rest_until = now_ + set_.turn_gap;
-    if (outcome.load.limit > 0) lane.limit = outcome.load.limit;
-    if (result == Result::kFull)
-      lane.pause_until = std::max(lane.pause_until, now_ + outcome.wait), changed_.insert(call.home);
-    if (!call.judged && result != Result::kNotSent && result != Result::kCancelled) {  // one call, one fate
-      call.judged = true;
-      if (result == Result::kFull) Cut(lane);
-      JudgeConnection(call, route, outcome, lane.health.bad_run == 0);
-      // Needs no outage, unless in a run: a told limit in use, no place, a spoilt answer, a worn connection.
-      const bool in_use = outcome.load.limit > 0 && outcome.load.left >= 0 && outcome.load.left < kLimitInUse;
-      const bool limit = result == Result::kFull && in_use;
-      const bool worn = call.idle_for > Micros(0) && result == Result::kReset;
-      const bool no_place = result == Result::kNoConnection && outcome.latency < kMoment && Crowded(route);
-      const bool explained = limit || garbled || worn || no_place;
-      if (no_place)
-        route.rest_until =
-            now_ + ToMicros((1 + Draw()) * Seconds(kMoment) * std::exp2(std::min(route.explained, 2)));
-      route.explained = explained ? route.explained + 1 : 0;
-      if (!explained || route.explained > (limit || no_place ? 1 : kExplainedRun) ||
-          lane.health.recovery == Recovery::kProbing)
-        JudgeCall(route, ok, call.sent,
-                  ok                        ? RecoveryCause::kCallServed
-                  : result == Result::kFull ? RecoveryCause::kCallRefused
-                                            : RecoveryCause::kCallFailed);
-      else
-        route.health.bad_share += kMemory * (1 - route.health.bad_share);  // others are tried first
-      if (ok) {
-        ++lane.answered;
-        const double latency = Seconds(outcome.latency);
-        if (lane.mean <= 0) lane.mean = latency, lane.deviation = latency / 2;
-        lane.deviation += kLatencyMemory * (std::abs(latency - lane.mean) - lane.deviation);
-        lane.mean += kLatencyMemory * (latency - lane.mean);
-        lane.served_long.Add(now_);
-        lane.peak = std::max(lane.peak, lane.served.Add(now_)), Raise(lane);
-      }
-    }
-    if (--call.waiting == 0) {
-      --lane.out, --route.out;
-      if (ok || result == Result::kFull || result == Result::kError)
-        route.idle.push_back(now_), freed_.emplace_back(call.home, call.endpoint);
-      calls_.erase(held.call);
-    }
+    NoteAttempt(held, call, route, outcome.result);
+    NoteEndpoint(call, route, outcome);
+    if (--call.waiting == 0) EndCall(held.call, call, route, outcome.result);
     if (!held.ended) Place(held);
     outcome.last && !held.ended ? End(held) : Release(held);
   }
@@ -143,7 +84,7 @@
 
   void OnAnswerTold(MessageId id) override {
     if (const auto it = held_.find(id); it != held_.end() && std::exchange(it->second.untold, false))
-      if (InTurn(it->second)) Release(it->second);
+      if (it->second.ordered) Release(it->second);
   }
 
   void OnStop(Micros at) override { stop_at_ = at; }
@@ -156,7 +97,8 @@
 
   void OnSettings(Settings settings) override {
     set_ = std::move(settings), set_.senders = std::max(1, set_.senders);
-    for (auto& [id, held] : held_) held.c = ClassOf(held.message);
+    SetUnknownClass();
+    for (auto& [id, held] : held_) held.c = ClassOf(held.message), JoinOrder(held);
     LookAtAll();
   }
 
--- a/src/brain/claims.h
+++ b/src/brain/claims.h
@@ -24,8 +24,8 @@
 
   // When the key of a message that may have run is no longer sure to be remembered.
   Micros RepeatUntil(const Held& held) const {
-    if (!held.message.past.may_have_run || held.c->effect != Effect::kKeyed) return Micros::max();
-    return held.message.past.first_run + ToMicros(Seconds(held.c->key_ttl) * kKeyLifeUsed);
+    if (!held.message.past.may_have_run || held.message.rules.effect != Effect::kKeyed) return Micros::max();
+    return held.message.past.first_run + ToMicros(Seconds(held.message.rules.key_ttl) * kKeyLifeUsed);
   }
 
   // Worth of an answer that comes `ahead` from now.
@@ -43,7 +43,7 @@
   // What waiting costs: the claim to slots and tokens, halved by each attempt past the free ones.
   double Claim(const Held& held) const {
     const double loss = Worth(held, Micros(0)) - Worth(held, held.c->aim);
-    const bool risked = held.message.past.may_have_run || held.c->effect == Effect::kSafe;
+    const bool risked = held.message.past.may_have_run || held.message.rules.effect == Effect::kSafe;
     return std::ldexp(loss, -std::max(0, held.message.past.attempts - (risked ? kRiskedCredit : 0)));
   }
 };
--- a/src/brain/guard.h
+++ b/src/brain/guard.h
@@ -8,16 +8,19 @@
 struct Guard : Claims {
   // Rule 2: a refusal promises that handing in again is harmless.
   bool MayRefuse(const Held& held) const {
-    const bool drops_repeats = held.c->effect == Effect::kKeyed && held.c->group == Group::kAll;
-    return !held.out && (!held.message.past.may_have_run || held.c->effect == Effect::kSafe || drops_repeats);
+    const bool drops_repeats =
+        held.message.rules.effect == Effect::kKeyed && held.message.rules.group == Group::kAll;
+    return !held.out &&
+           (!held.message.past.may_have_run || held.message.rules.effect == Effect::kSafe || drops_repeats);
   }
 
   // Rules 1 and 2: whether another attempt may be made at all.
   bool MayAttempt(const Held& held) const {
     if (held.ended || held.out || now_ >= held.message.give_up_at) return false;
     if (set_.max_attempts > 0 && held.message.past.attempts >= set_.max_attempts) return false;
-    if (!held.message.past.may_have_run || held.c->effect == Effect::kSafe) return true;
-    return held.c->effect == Effect::kKeyed && held.c->group != Group::kCell && now_ <= RepeatUntil(held);
+    if (!held.message.past.may_have_run || held.message.rules.effect == Effect::kSafe) return true;
+    return held.message.rules.effect == Effect::kKeyed && held.message.rules.group != Group::kCell &&
+           now_ <= RepeatUntil(held);
   }
 
   // Why MayAttempt says no, or the message can't arrive in time.
@@ -50,8 +53,8 @@
   // Every send passes here.
   bool MaySend(const Held& held, const Route& route, const Lane& lane, bool joins = false) const {
     if (!MayAttempt(held) || !HasTurn(held)) return false;
-    const bool bound =
-        held.message.past.may_have_run && held.c->effect == Effect::kKeyed && held.c->group == Group::kZone;
+    const bool bound = held.message.past.may_have_run && held.message.rules.effect == Effect::kKeyed &&
+                       held.message.rules.group == Group::kZone;
     if (bound && route.endpoint.zone != held.message.past.run_zone) return false;
     return route.home == held.home && MayCall(route, lane, joins);
   }
--- /dev/null
+++ b/src/brain/repeat_rules.cpp
@@ -0,0 +1,131 @@
+#include "brain/repeat_rules.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace indigosaddle {
+namespace {
+
+// Senders go by new settings 1.2 s behind the node; the rest is for a node or a sender that was held up.
+constexpr Micros kSendersLearnWithin = std::chrono::seconds(3);
+constexpr std::size_t kMostSpans = 16;  // of a class: more are merged, the oldest first
+
+Micros LongestDeadline(const std::vector<RuleSpan>& spans) {
+  Micros longest(0);
+  for (const RuleSpan& span : spans) longest = std::max(longest, span.deadline);
+  return longest;
+}
+
+bool InForce(const RuleSpan& span) { return span.until == Micros::max(); }
+
+// Whether a sender may have written a message under it at `birth` or later.
+bool MayBind(const RuleSpan& span, Micros birth) {
+  return InForce(span) || span.until + kSendersLearnWithin > birth;
+}
+
+// The message is at the most so old when its hand-in begins. Where its time left says nothing, any age that
+// its class allows.
+Micros MostAge(const HandIn& hand_in, Micros longest) {
+  if (hand_in.handed_in_before || hand_in.time_left > longest) return longest;
+  return longest - hand_in.time_left;
+}
+
+RuleSpan Merged(const RuleSpan& a, const RuleSpan& b) {
+  return {Strictest(a.rules, b.rules), std::max(a.deadline, b.deadline), std::max(a.until, b.until)};
+}
+
+}  // namespace
+
+RepeatRules Strictest(const RepeatRules& a, const RepeatRules& b) {
+  RepeatRules both;
+  both.effect = std::max(a.effect, b.effect);
+  both.sequential = a.sequential || b.sequential;
+  if (both.effect != Effect::kKeyed) return both;
+  const bool a_keyed = a.effect == Effect::kKeyed, b_keyed = b.effect == Effect::kKeyed;
+  both.group = a_keyed && b_keyed ? std::max(a.group, b.group) : a_keyed ? a.group : b.group;
+  both.key_ttl = a_keyed && b_keyed ? std::min(a.key_ttl, b.key_ttl) : a_keyed ? a.key_ttl : b.key_ttl;
+  return both;
+}
+
+void RuleHistory::Begin(const Classes& classes, Micros now, Before before) {
+  spans_.clear();
+  Change(classes, now);
+  if (before == Before::kNothing) return;
+  for (auto& [name, spans] : spans_)
+    spans.insert(spans.begin(), RuleSpan{kStrictestRules, LongestDeadline(spans), now});
+}
+
+void RuleHistory::Restore(Spans spans, Micros now) {
+  spans_ = std::move(spans);
+  for (auto& [name, of_class] : spans_) {
+    for (RuleSpan& span : of_class)  // node time may have begun anew, behind what was saved
+      if (!InForce(span)) span.until = std::min(span.until, now);
+  }
+  Prune(now);
+}
+
+bool RuleHistory::Change(const Classes& classes, Micros now) {
+  bool changed = false;
+  for (auto& [name, spans] : spans_) {
+    const auto next = classes.find(name);
+    for (RuleSpan& span : spans) {
+      const bool stays = next != classes.end() &&
+                         span.rules == static_cast<const RepeatRules&>(next->second) &&
+                         span.deadline == next->second.deadline;
+      if (!InForce(span) || stays) continue;
+      span.until = now;
+      changed = true;
+    }
+  }
+  for (const auto& [name, settings] : classes) {
+    std::vector<RuleSpan>& spans = spans_[name];
+    if (std::any_of(spans.begin(), spans.end(), InForce)) continue;
+    spans.push_back({settings, settings.deadline});
+    changed = true;
+  }
+  Prune(now);
+  return changed;
+}
+
+void RuleHistory::Merge(Spans spans, Micros now) {
+  for (auto& [name, others] : spans) {
+    std::vector<RuleSpan>& own = spans_[name];
+    for (RuleSpan& span : others) {
+      span.until = std::min(span.until, now);
+      own.insert(own.begin(), span);
+    }
+  }
+  Prune(now);
+}
+
+BirthRules RuleHistory::RulesFor(const std::string& message_class, const HandIn& hand_in) const {
+  const auto known = spans_.find(message_class);
+  if (known == spans_.end() || known->second.empty()) return {kStrictestRules, false};
+  const std::vector<RuleSpan>& spans = known->second;
+  const Micros birth = hand_in.begun - MostAge(hand_in, LongestDeadline(spans));
+  BirthRules born{Strictest(spans.back().rules, spans.back().rules), true};
+  for (const RuleSpan& span : spans) {
+    if (!MayBind(span, birth)) continue;
+    const RepeatRules both = Strictest(born.rules, span.rules);
+    born.sure = born.sure && both == born.rules && both == Strictest(span.rules, span.rules);
+    born.rules = both;
+  }
+  // Its sender gave no key that receivers could know it by: it was not written under rules that use one.
+  if (born.rules.effect == Effect::kKeyed && !hand_in.has_key) born.rules.effect = Effect::kUnsafe;
+  return born;
+}
+
+// Drops what can bind no message any more, and bounds what a flood of changes leaves.
+void RuleHistory::Prune(Micros now) {
+  for (auto& [name, spans] : spans_) {
+    const Micros oldest_birth = now - LongestDeadline(spans);
+    std::erase_if(spans, [&](const RuleSpan& span) { return !MayBind(span, oldest_birth); });
+    while (spans.size() > kMostSpans && !InForce(spans[0]) && !InForce(spans[1])) {
+      spans[1] = Merged(spans[0], spans[1]);
+      spans.erase(spans.begin());
+    }
+  }
+  std::erase_if(spans_, [](const auto& entry) { return entry.second.empty(); });
+}
+
+}  // namespace indigosaddle
--- a/src/brain/sending.h
+++ b/src/brain/sending.h
@@ -43,7 +43,7 @@
   }
 
   Micros Timeout(const Held& held, const Lane& lane, bool old_connection) const {
-    const bool old = old_connection && held.c->effect != Effect::kUnsafe;
+    const bool old = old_connection && held.message.rules.effect != Effect::kUnsafe;
     const double aims = old ? kOldPatience : lane.answered < kKnownAnswers ? kPatience : 1;
     const Micros base =
         ToMicros(std::max(aims * Seconds(held.c->aim), lane.mean + kTimeoutDeviations * lane.deviation));
@@ -72,7 +72,7 @@
 
   // Before a stop: only what should end by then. What the stop cuts off may have run.
   bool EndsInTime(const Held& held, const Lane& lane) const {
-    const bool sure = lane.mean > 0 && held.c->effect != Effect::kUnsafe;
+    const bool sure = lane.mean > 0 && held.message.rules.effect != Effect::kUnsafe;
     return stop_at_ - now_ >= (sure ? ToMicros(lane.mean + 2 * lane.deviation) : Timeout(held, lane, false));
   }
 
--- a/src/brain/state.h
+++ b/src/brain/state.h
@@ -124,6 +124,7 @@
   std::uint64_t call = 0;
   Micros due{0};           // its place in waiting_due_ or out_due_
   bool refusable = false;  // it stands in room_
+  bool ordered = false;    // it stands in its key's order
 };
 
 // What may be handed back of one class and side of its tenants' shares, by least worth and by number.
@@ -149,7 +150,22 @@
     return index < set_.classes.size() ? &set_.classes[index] : &unknown_;
   }
 
-  bool InTurn(const Held& held) const { return held.c->sequential && !held.message.key.empty(); }
+  // Whether it waits for its turn in its order key.
+  static bool InTurn(const Held& held) { return held.message.rules.sequential && !held.message.key.empty(); }
+
+  // Whether later messages of its order key wait for it: one that need not wait itself counts too, once its
+  // class keeps the order.
+  static bool HasPlaceInOrder(const Held& held) {
+    return !held.message.key.empty() && (held.message.rules.sequential || held.c->sequential);
+  }
+
+  // For messages of a class that the settings no longer have: as patient as any, and last.
+  void SetUnknownClass() {
+    unknown_ = {};
+    for (const ClassSettings& c : set_.classes)
+      unknown_.aim = std::max(unknown_.aim, c.aim),
+      unknown_.deadline = std::max(unknown_.deadline, c.deadline);
+  }
 
   double Draw() { return static_cast<double>(random_()) / static_cast<double>(random_.max()); }  // 0 to 1
 
@@ -160,7 +176,7 @@
   }
 
   Settings set_;
-  const ClassSettings unknown_{};  // unsafe, worth nothing
+  ClassSettings unknown_;  // worth nothing
   Host* host_ = nullptr;
   Micros now_{0}, stop_at_{Micros::max()}, timer_{Micros::max()}, watch_due_{Micros::max()},
       sweep_due_{Micros::min()}, outdated_from_{Micros::max()};  // the list, from then on
--- a/src/net/resp.cpp
+++ b/src/net/resp.cpp
@@ -135,6 +135,8 @@
       if (!ParseNumber(value, millis) || !(millis >= 0 && millis <= kMostMillis)) return "d is no time";
       out.time_left = std::chrono::duration_cast<Micros>(std::chrono::duration<double, std::milli>(millis));
       has_left = true;
+    } else if (name == "r" || name == "again") {
+      out.handed_in_before |= value == "1";
     } else if (name == "dest") {
       if (!ParseNumber(value, out.destination)) return "dest is no number";
       has_destination = true;
--- a/src/net/resp.h
+++ b/src/net/resp.h
@@ -45,6 +45,7 @@
   std::uint64_t destination = 0;
   Micros time_left{0};  // from when the client sent it
   Micros begun{0};      // its first byte came
+  bool handed_in_before = false;
 };
 
 // Empty where the command is well formed, else what is wrong with it.
--- a/src/node/config_change.cpp
+++ b/src/node/config_change.cpp
@@ -7,18 +7,15 @@
 namespace {
 
 // Items of a list keep their numbers; those that went keep their place without a name. What is new follows.
-// An item that `same` finds too changed to carry is new under its old name: what is held keeps the old one.
-template <typename Item, typename Update, typename Same>
+template <typename Item>
 void CarryList(std::map<std::string, int>& names, std::vector<Item>& items,
-               const std::map<std::string, int>& next_names, const std::vector<Item>& next_items,
-               const Update& update, const Same& same) {
+               const std::map<std::string, int>& next_names, const std::vector<Item>& next_items) {
   std::map<std::string, int> numbers;
   for (const auto& [name, number] : next_names) {
     const Item& item = next_items[static_cast<std::size_t>(number)];
-    if (const auto it = names.find(name);
-        it != names.end() && same(items[static_cast<std::size_t>(it->second)], item)) {
+    if (const auto it = names.find(name); it != names.end()) {
       numbers.emplace(name, it->second);
-      update(items[static_cast<std::size_t>(it->second)], item);
+      items[static_cast<std::size_t>(it->second)] = item;
     } else {
       numbers.emplace(name, static_cast<int>(items.size()));
       items.push_back(item);
@@ -48,21 +45,8 @@
   s.weights = n.weights;
   s.retry_advice = n.retry_advice;
   s.over_share_worth = n.over_share_worth;
-  // A message that was taken keeps the rules of its class as they were: where what a repeat may do changes,
-  // the name goes to a class of its own.
-  CarryList(
-      changed.classes, s.classes, next.classes, n.classes,
-      [](ClassSettings& c, const ClassSettings& to) {
-        c.aim = to.aim, c.deadline = to.deadline, c.worth = to.worth, c.late_value = to.late_value;
-      },
-      [](const ClassSettings& c, const ClassSettings& to) {
-        return c.effect == to.effect && c.group == to.group && c.key_ttl == to.key_ttl &&
-               c.sequential == to.sequential;
-      });
-  CarryList(
-      changed.tenants, s.tenants, next.tenants, n.tenants,
-      [](TenantSettings& t, const TenantSettings& to) { t = to; },
-      [](const TenantSettings&, const TenantSettings&) { return true; });
+  CarryList(changed.classes, s.classes, next.classes, n.classes);
+  CarryList(changed.tenants, s.tenants, next.tenants, n.tenants);
   changed.shown = next.shown;
   for (config::Shown& shown : changed.shown) {  // what a restart alone changes shows as it runs
     if (shown.change != config::Change::kRestart) continue;
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -33,6 +33,7 @@
       log_(log),
       clock_(loop, config_.state_folder),
       journal_(config_.state_folder),
+      rules_(config_.state_folder),
       state_(LimitsOf(config_)),
       brain_(MakeBrain(config_.settings, *this)),
       watcher_(config_.watched.on ? std::make_unique<Watcher>(config_.watched, config_.settings) : nullptr),
@@ -102,6 +103,8 @@
     return false;
   }
   log_.Write(base::kJournalFound, bytes.size());
+  rules_.Start(config_, started_at_, clock_.continued() || !bytes.empty());
+  if (!rules_.known()) log_.Write(base::kRulesUnknown, config_.state_folder);
   state::Serial highest = 0;
   state::ReadJournal old = Parsed(bytes, highest);
   state::Recovered recovered;
@@ -131,6 +134,7 @@
     Push(state::StopAsked{loop_.Now()});
     hold_timer_.Start(kHandOver);
   }
+  SaveRules();
   claim_timer_.Start(kClaimEvery);
   std::optional<std::uint64_t> held;
   if (!config_.known.empty()) {
@@ -186,6 +190,8 @@
     return claim_timer_.Start(kReadAgain);
   }
   successor_ = false;
+  rules_.TakeOver(loop_.Now());
+  SaveRules();
   ShareRoom(false);
   state::Serial highest = 0;
   state::ReadJournal old = Parsed(bytes, highest);
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -23,6 +23,7 @@
 #include "node/config.h"
 #include "node/fleet_link.h"
 #include "node/journal_file.h"
+#include "node/message_rules.h"
 #include "node/node_clock.h"
 #include "node/repeated_event.h"
 #include "node/watch.h"
@@ -127,7 +128,7 @@
   void Count(const state::MessageOver& e, Micros held);
   void LogCall(const net::CallResult& result);
   void LogRuleChanges(const Config& next);
-  std::string RulesOf(const std::string& message_class) const;
+  void SaveRules();
   void Write(bool ok);
   void LeaveClients();
   void Finish();
@@ -146,6 +147,7 @@
   base::Log& log_;
   NodeClock clock_;  // before all that reads the loop's time
   JournalFile journal_;
+  MessageRules rules_;
   state::State state_;
   std::unique_ptr<Brain> brain_;
   std::unique_ptr<Watcher> watcher_;  // null: nothing is watched
@@ -190,6 +192,7 @@
   Micros now_{0}, wake_at_{0};  // of the last turn; for the next, as the module asked
   std::array<std::uint64_t, static_cast<std::size_t>(state::kLastEnding) + 1> endings_{};
   std::array<std::uint64_t, net::kClientEnds> client_ends_{};
+  std::uint64_t unsure_rules_ = 0;  // messages whose birth several rules may bind
   std::uint64_t taken_ = 0, busy_ = 0, failed_ = 0, delivered_ = 0, returned_ = 0, given_up_ = 0;
   Micros started_at_{0};
   std::map<std::string, ClassFigures> by_class_;  // from the start of the process, as the figures tell
--- a/src/node/node_clock.cpp
+++ b/src/node/node_clock.cpp
@@ -1,15 +1,12 @@
 #include "node/node_clock.h"
 
-#include <fcntl.h>
 #include <fmt/format.h>
-#include <unistd.h>
 #include <uv.h>
 
 #include <chrono>
-#include <cstdio>
 #include <fstream>
 
-#include "base/descriptor.h"
+#include "base/replace_file.h"
 
 namespace indigosaddle::node {
 namespace {
@@ -53,14 +50,8 @@
 
 bool NodeClock::Save() {
   if (saved_ || origin_.boot.empty()) return true;
-  const std::string new_path = path_ + ".new";
-  const int file = open(new_path.c_str(), O_WRONLY | O_CREAT | O_TRUNC | O_CLOEXEC, 0600);
-  if (file < 0) return false;
-  const std::string text =
-      fmt::format("{} {} {} end\n", origin_.boot, origin_.monotonic.count(), origin_.node_time.count());
-  const bool written = base::WriteAll(file, text);
-  saved_ = close(file) == 0 && written && std::rename(new_path.c_str(), path_.c_str()) == 0;
-  if (!saved_) unlink(new_path.c_str());
+  saved_ = base::ReplaceFile(path_, fmt::format("{} {} {} end\n", origin_.boot, origin_.monotonic.count(),
+                                                origin_.node_time.count()));
   return saved_;
 }
 
--- a/src/node/node_events.cpp
+++ b/src/node/node_events.cpp
@@ -3,6 +3,7 @@
 #include <utility>
 
 #include "base/log_events.h"
+#include "node/describe.h"
 #include "node/node.h"
 
 namespace indigosaddle::node {
@@ -14,6 +15,13 @@
   if (!enqueue.tenant.empty() && !config_.tenants.contains(enqueue.tenant)) {
     return server_.Reply(connection, command, "-ERR unknown tenant\r\n");
   }
+  const HandIn hand_in{enqueue.begun, enqueue.time_left, enqueue.handed_in_before,
+                       !enqueue.idempotency_key.empty()};
+  const BirthRules born = rules_.RulesFor(enqueue.message_class, hand_in);
+  if (!born.sure) {
+    ++unsure_rules_;
+    log_.Write(base::kRulesUnsure, enqueue.id, enqueue.message_class, Describe(born.rules));
+  }
   state::ClientMessage event;
   event.client = {connection, command};
   event.at = loop_.Now();
@@ -25,6 +33,7 @@
   message.order_key = std::move(enqueue.order_key);
   message.body = std::move(enqueue.body);
   message.destination = enqueue.destination;
+  message.rules = born.rules;
   message.give_up_at = enqueue.begun + enqueue.time_left;
   Push(std::move(event));
 }
--- a/src/node/node_figures.cpp
+++ b/src/node/node_figures.cpp
@@ -113,16 +113,22 @@
 void Node::Tick() {
   TellFleet();
   clock_.Save();
+  SaveRules();
   log_.Tick();
   tick_timer_.Start(kTickEvery);
 }
 
+// The file is its owner's: a successor writes it once it has taken over.
+void Node::SaveRules() {
+  if (!successor_) rules_.Save();
+}
+
 void Node::Report() {
   const std::string calls = CountsByName<state::Ending>(endings_);
   log_.Write(base::kReport, taken_, busy_, failed_, state_.open(), state_.notices.size(),
              server_.connections(), pool_.connections(), pool_.opened(), state_.journal_size, calls,
              log_.dropped(), brain_->slow_start().recovering, brain_->slow_start().calls, WatchLosses(),
-             CountsByName<net::ClientEnd>(client_ends_));
+             CountsByName<net::ClientEnd>(client_ends_), unsure_rules_);
   if (watcher_) log_.Write(base::kWatch, watcher_->messages(), watcher_->Text());
   report_timer_.Start(kReportEvery);
 }
--- a/src/node/node_log.cpp
+++ b/src/node/node_log.cpp
@@ -45,7 +45,7 @@
   using state::Over;
   const Micros held = e.taken_at > Micros(0) ? loop_.Now() - e.taken_at : Micros(0);
   const auto attempts = static_cast<std::uint64_t>(e.attempts);
-  const std::string rules = RulesOf(e.message_class);
+  const std::string rules = Describe(e.rules);
   Count(e, held);
   if (e.over == Over::kDelivered) {
     log_.Write(base::kMessageDelivered, e.id, e.message_class, e.tenant, e.destination, NameOf(e.over),
@@ -56,16 +56,14 @@
   }
 }
 
-std::string Node::RulesOf(const std::string& message_class) const {
-  const int number = NumberOf(config_.classes, message_class);
-  return number < 0 ? "" : Describe(config_.settings.classes[static_cast<std::size_t>(number)]);
-}
-
 void Node::LogRuleChanges(const Config& next) {
-  std::map<std::string, std::string> before, after;  // by class
-  for (const auto& [name, number] : config_.classes) before[name] = RulesOf(name);
-  for (const auto& [name, number] : next.classes)
-    after[name] = Describe(next.settings.classes[static_cast<std::size_t>(number)]);
+  const auto described = [](const Config& config) {
+    std::map<std::string, std::string> rules;  // by class
+    for (const auto& [name, number] : config.classes)
+      rules[name] = Describe(config.settings.classes[static_cast<std::size_t>(number)]);
+    return rules;
+  };
+  const auto before = described(config_), after = described(next);
   for (const auto& [name, rules] : after) {
     const auto old = before.find(name);
     if (old == before.end() || old->second != rules)
@@ -98,7 +96,7 @@
 
 void Node::Do(state::MessageResumed& e) {
   log_.Write(base::kMessageResumed, e.id, e.destination, static_cast<std::uint64_t>(e.past.attempts),
-             e.past.may_have_run, e.give_up_at - loop_.Now(), RulesOf(e.message_class));
+             e.past.may_have_run, e.give_up_at - loop_.Now(), Describe(e.rules));
 }
 
 void Node::LogCall(const net::CallResult& result) {
@@ -106,7 +104,7 @@
   if (found == state_.owed.end()) return;
   const state::Owed& owed = found->second;
   const auto attempt = static_cast<std::uint64_t>(owed.past.attempts);
-  const std::string rules = RulesOf(owed.taken.message_class);
+  const std::string rules = Describe(owed.taken.rules);
   if (result.ending == state::Ending::kDelivered) {
     log_.Write(base::kCallDelivered, owed.taken.id, owed.taken.destination, owed.endpoint, attempt,
                state::NameOf(result.ending), result.latency, result.wait, rules);
--- a/src/node/node_operations.cpp
+++ b/src/node/node_operations.cpp
@@ -38,6 +38,8 @@
   const std::string from = config_.discovery;
   LogRuleChanges(next);
   config_ = WithinDescriptors(std::move(next), config_.sockets);
+  rules_.Change(config_, loop_.Now());
+  SaveRules();
   server_.SetLimits(ServerLimits(config_));
   log_.Configure(config_.log);
   if (config_.discovery != from) {
--- a/src/node/shares.cpp
+++ b/src/node/shares.cpp
@@ -49,7 +49,7 @@
 
 state::Limits LimitsOf(const Config& config) {
   return {static_cast<std::size_t>(std::max(0, config.settings.max_open)), JournalRoom(config, false),
-          config.classes, config.tenants};
+          config.classes, config.tenants, config.zones};
 }
 
 }  // namespace indigosaddle::node
--- a/src/state/journal.cpp
+++ b/src/state/journal.cpp
@@ -10,7 +10,10 @@
 namespace {
 
 constexpr std::string_view kMagic = "indigosaddle journal ";
-constexpr std::uint64_t kVersion = 2;   // 1 has no Connecting records; it is read as well
+// 1 has no Connecting records, 2 numbers in place of zones' names and no rules of messages; both are read as
+// well.
+constexpr std::uint64_t kVersion = 3;
+constexpr std::uint64_t kFirstWithRules = 3;
 constexpr std::size_t kFrameBytes = 8;  // length and checksum
 
 class Writer {
@@ -32,7 +35,9 @@
 // Reads past the end yield zero and clear ok().
 class Reader {
  public:
-  explicit Reader(std::string_view bytes) : bytes_(bytes) {}
+  explicit Reader(std::string_view bytes, std::uint64_t version = kVersion)
+      : bytes_(bytes), version_(version) {}
+  bool has_rules() const { return version_ >= kFirstWithRules; }
   std::uint64_t Unsigned(std::size_t bytes = 8) {
     if (bytes_.size() < bytes) {
       ok_ = false;
@@ -68,6 +73,7 @@
 
  private:
   std::string_view bytes_;
+  std::uint64_t version_;
   bool ok_ = true;
 };
 
@@ -79,12 +85,16 @@
   }
   w.Unsigned(r.destination);
   w.Time(r.give_up_at);
+  w.Unsigned(static_cast<std::uint64_t>(r.rules.effect), 1);
+  w.Unsigned(static_cast<std::uint64_t>(r.rules.group), 1);
+  w.Time(r.rules.key_ttl);
+  w.Unsigned(r.rules.sequential ? 1 : 0, 1);
 }
 template <typename T>
 void PutAttempt(Writer& w, const T& r) {
   w.Unsigned(r.serial);
   w.Text(r.endpoint);
-  w.Unsigned(static_cast<std::uint32_t>(r.zone), 4);
+  w.Text(r.zone);
   w.Time(r.at);
 }
 void Put(Writer& w, const Attempted& r) { PutAttempt(w, r); }
@@ -104,7 +114,7 @@
   w.Unsigned(static_cast<std::uint32_t>(r.past.attempts), 4);
   w.Unsigned(r.past.may_have_run ? 1 : 0, 1);
   w.Time(r.past.first_run);
-  w.Unsigned(static_cast<std::uint32_t>(r.past.run_zone), 4);
+  w.Text(r.run_zone);
 }
 
 void Get(Reader& in, Taken& r) {
@@ -114,12 +124,24 @@
   }
   r.destination = in.Unsigned();
   r.give_up_at = in.Time();
+  if (!in.has_rules()) return;  // born under rules that nobody noted: the strictest
+  r.rules.effect = in.Choice(Effect::kUnsafe);
+  r.rules.group = in.Choice(Group::kCell);
+  r.rules.key_ttl = in.Time();
+  r.rules.sequential = in.Unsigned(1) != 0;
+}
+
+// A number of an older version is of settings that are not known here.
+std::string GetZone(Reader& in) {
+  if (in.has_rules()) return in.Text();
+  in.Unsigned(4);
+  return {};
 }
 template <typename T>
 void GetAttempt(Reader& in, T& r) {
   r.serial = in.Unsigned();
   r.endpoint = in.Text();
-  r.zone = in.Int();
+  r.zone = GetZone(in);
   r.at = in.Time();
 }
 void Get(Reader& in, Attempted& r) { GetAttempt(in, r); }
@@ -139,7 +161,7 @@
   r.past.attempts = in.Int();
   r.past.may_have_run = in.Unsigned(1) != 0;
   r.past.first_run = in.Time();
-  r.past.run_zone = in.Int();
+  r.run_zone = GetZone(in);
 }
 
 template <std::size_t... I>
@@ -189,12 +211,13 @@
 ReadJournal ParseJournal(std::string_view bytes) {
   ReadJournal result;
   if (bytes.empty()) return result;
-  const std::string head = JournalHead();
-  if (!bytes.starts_with(head) && !bytes.starts_with(HeadOf(1))) {
+  std::uint64_t version = kVersion;
+  while (version > 0 && !bytes.starts_with(HeadOf(version))) --version;
+  if (version == 0) {
     result.trouble = bytes.starts_with(kMagic) ? "another version" : "not a journal";
     return result;
   }
-  result.read = head.size();
+  result.read = JournalHead().size();
   while (result.read < bytes.size()) {
     std::string_view rest = bytes.substr(result.read);
     Reader frame(rest.substr(0, kFrameBytes));
@@ -209,7 +232,7 @@
       result.trouble = "a record with a wrong checksum";
       return result;
     }
-    Reader in(body);
+    Reader in(body, version);
     const std::uint64_t type = in.Unsigned(1);
     auto record = Decode(type, in, std::make_index_sequence<std::variant_size_v<Record>>());
     if (!record) {
--- a/src/state/journal.h
+++ b/src/state/journal.h
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "brain.h"
+#include "brain/repeat_rules.h"
 
 namespace indigosaddle::state {
 
@@ -20,12 +21,13 @@
   std::string id, message_class, tenant, idempotency_key, order_key, body;
   std::uint64_t destination = 0;
   Micros give_up_at{0};
+  RepeatRules rules = kStrictestRules;  // from its birth
 };
 struct Attempted {  // on disk before the call's first byte can leave: from here on it may have run
   Serial serial = 0;
   std::string endpoint;
-  int zone = 0;
-  Micros at{0};  // when it was decided
+  std::string zone;  // its name: numbers differ between settings; empty: not known
+  Micros at{0};      // when it was decided
 };
 struct Settled {  // how the attempt that was out ended
   Serial serial = 0;
@@ -42,14 +44,14 @@
 };
 struct Resumed {  // all attempts so far, in a rewritten journal
   Serial serial = 0;
-  Past past;
+  Past past;             // but for the zone's number
+  std::string run_zone;  // its name
 };
 // An attempt that waits for its connection: it counts, and nothing of it has left. The same attempt's
 // Attempted follows once the connection is up.
 struct Connecting {
   Serial serial = 0;
-  std::string endpoint;
-  int zone = 0;
+  std::string endpoint, zone;
   Micros at{0};
 };
 using Record = std::variant<Taken, Attempted, Settled, Ended, Noticed, Resumed, Connecting>;
--- a/src/state/keeper.h
+++ b/src/state/keeper.h
@@ -32,7 +32,7 @@
     if (!MayHaveRun(r.result) || owed->past.may_have_run) return;
     owed->past.may_have_run = true;
     owed->past.first_run = owed->sent;
-    owed->past.run_zone = owed->out_zone;
+    owed->run_zone = owed->out_zone;
   }
   void operator()(const Ended& r) {
     Owed* owed = Find(r.serial);
@@ -50,7 +50,7 @@
     if (Owed* owed = Find(r.serial)) SetRoom(*owed, 0);
   }
   void operator()(const Resumed& r) {
-    if (Owed* owed = Find(r.serial)) owed->past = r.past;
+    if (Owed* owed = Find(r.serial)) owed->past = r.past, owed->run_zone = r.run_zone;
   }
 
   Owed* Find(Serial serial) {
@@ -106,7 +106,7 @@
     AppendRecord(journal, owed.taken);
     Past past = owed.past;
     if (owed.out && !owed.ended) --past.attempts;  // counted by the record of the attempt that is out
-    if (past.attempts > 0 || past.may_have_run) AppendRecord(journal, Resumed{serial, past});
+    if (past.attempts > 0 || past.may_have_run) AppendRecord(journal, Resumed{serial, past, owed.run_zone});
     if (owed.out && !owed.ended && owed.connecting) {
       AppendRecord(journal, Connecting{serial, owed.endpoint, owed.out_zone, owed.sent});
     } else if (owed.out && !owed.ended) {
--- a/src/state/ledger.h
+++ b/src/state/ledger.h
@@ -47,13 +47,22 @@
     message.destination = owed.taken.destination;
     message.place = owed.taken.serial;
     message.past = owed.past;
+    message.past.run_zone = Number(state_.limits.zones, owed.run_zone, kUnknownZone);
+    message.rules = owed.taken.rules;
     message.ended = owed.ended.has_value();
     return message;
   }
 
-  static int Number(const std::map<std::string, int>& names, const std::string& name) {
+  // `unknown` where the settings do not have the name, or no longer.
+  static int Number(const std::map<std::string, int>& names, const std::string& name, int unknown = -1) {
     const auto it = names.find(name);
-    return it == names.end() ? -1 : it->second;  // a name that the settings no longer have
+    return it == names.end() ? unknown : it->second;
+  }
+
+  std::string ZoneName(int number) const {
+    for (const auto& [name, of_name] : state_.limits.zones)
+      if (of_name == number) return name;
+    return {};
   }
 
   template <typename T>
@@ -83,7 +92,7 @@
   void SayOver(const Owed& owed, Over over, std::optional<GiveUpCause> cause = std::nullopt) {
     const Taken& t = owed.taken;
     effects_.emplace_back(MessageOver{t.id, t.message_class, t.tenant, t.destination, over,
-                                      owed.past.attempts, owed.taken_at, cause});
+                                      owed.past.attempts, t.rules, owed.taken_at, cause});
   }
 
   void Forget(Serial serial) {
--- a/src/state/reducer.cpp
+++ b/src/state/reducer.cpp
@@ -39,7 +39,7 @@
         ++resumed;
         const Taken& taken = owed.taken;
         effects_.emplace_back(
-            MessageResumed{taken.id, taken.message_class, taken.destination, owed.past, taken.give_up_at});
+            MessageResumed{taken.id, taken.destination, taken.rules, owed.past, taken.give_up_at});
       }
       // Of what is over the module hears only where its key waits for the notice.
       if (!owed.ended || (state_.notices.contains(serial) && !owed.taken.order_key.empty()))
@@ -148,7 +148,7 @@
     Owed* owed = keep_.Find(e.serial);
     const auto listed = state_.listed.find(e.endpoint);
     if (owed == nullptr || owed->ended || owed->out || listed == state_.listed.end()) return;
-    const int zone = listed->second.endpoint.zone;
+    const std::string zone = ZoneName(listed->second.endpoint.zone);
     if (e.connected) {
       Record_(Attempted{e.serial, e.endpoint, zone, e.now});
     } else {
--- a/src/state/reducer.h
+++ b/src/state/reducer.h
@@ -185,8 +185,9 @@
 };
 enum class Over : std::uint8_t { kDelivered, kReturned, kFailed, kWithdrawn };
 struct MessageResumed {  // for the log
-  std::string id, message_class;
+  std::string id;
   std::uint64_t destination = 0;
+  RepeatRules rules;
   Past past;
   Micros give_up_at{0};
 };
@@ -195,6 +196,7 @@
   std::uint64_t destination = 0;
   Over over = Over::kDelivered;
   int attempts = 0;
+  RepeatRules rules;
   Micros taken_at{0};                // zero: before a restart
   std::optional<GiveUpCause> cause;  // nothing: delivered or withdrawn
 };
@@ -206,19 +208,20 @@
 
 // ---- State ----------------------------------------------------------------------------------------------
 
-struct Limits {                                 // what the settings and the machine allow
-  std::size_t most_open = 0;                    // messages held; 0: not limited
-  std::size_t journal_bytes = 0;                // for the folder, with a rewrite in progress counted
-  std::map<std::string, int> classes, tenants;  // numbers of the names in the settings
+struct Limits {                                        // what the settings and the machine allow
+  std::size_t most_open = 0;                           // messages held; 0: not limited
+  std::size_t journal_bytes = 0;                       // for the folder, with a rewrite in progress counted
+  std::map<std::string, int> classes, tenants, zones;  // numbers of the names in the settings
 };
 
 struct Owed {
   Taken taken;
   Past past;
-  bool out = false;                     // a call
-  bool connecting = false;              // with it, and nothing of it has left
-  int out_zone = 0, attempts_made = 0;  // attempts_made: in this process
-  Micros sent{0}, taken_at{0};          // taken_at: zero in what was resumed
+  bool out = false;                // a call
+  bool connecting = false;         // with it, and nothing of it has left
+  int attempts_made = 0;           // in this process
+  std::string out_zone, run_zone;  // names: of the attempt that is out; of the first that may have run
+  Micros sent{0}, taken_at{0};     // taken_at: zero in what was resumed
   EndpointId endpoint;
   std::optional<Ended> ended;           // kept while its notice is owed or its call is out
   std::optional<ClientRef> unanswered;  // taken in the present turn
--- a/src/wirehost/wire_host.cpp
+++ b/src/wirehost/wire_host.cpp
@@ -11,7 +11,7 @@
 class WireHost::Instance : public Host {
  public:
   Instance(std::int64_t node, wire::Encoder& encoder, const Settings& settings)
-      : node_(node), encoder_(encoder), brain_(MakeBrain(settings, *this)) {}
+      : node_(node), encoder_(encoder), classes_(settings.classes), brain_(MakeBrain(settings, *this)) {}
 
   void Send(MessageId id, const EndpointId& endpoint, Micros timeout) override {
     encoder_.Send(node_, id, endpoint, timeout);
@@ -35,7 +35,7 @@
               brain_->OnList(*body.entries, body.mode != wire::ListMode::kChanges);
             }
           } else if constexpr (std::is_same_v<Body, Message>) {
-            brain_->OnMessage(body);
+            brain_->OnMessage(Born(body));
           } else if constexpr (std::is_same_v<Body, Outcome>) {
             brain_->OnOutcome(body);
           } else if constexpr (std::is_same_v<Body, wire::Withdrawn>) {
@@ -49,8 +49,16 @@
   bool in_turn = false;
 
  private:
+  // The bench's settings hold for an instance's life, and so for each message's.
+  Message Born(Message message) const {
+    const auto number = static_cast<std::size_t>(message.message_class);
+    if (number < classes_.size()) message.rules = classes_[number];
+    return message;
+  }
+
   std::int64_t node_;
   wire::Encoder& encoder_;
+  std::vector<ClassSettings> classes_;
   std::uint64_t timers_ = 0;  // the last token given
   std::unique_ptr<Brain> brain_;
 };
--- a/tests/crowd.h
+++ b/tests/crowd.h
@@ -137,6 +137,7 @@
       if (std::generate_canonical<double, 53>(random_) < chance) {
         node.Take(++id_, 7, seconds(12));
         member.open[id_] = {id_, 0, 0, "", now_ + seconds(12), 7};
+        member.open[id_].rules = settings_.classes[0];
       }
     });
     for (; member.seen < node.sends.size(); ++member.seen) {
--- a/tests/fault_plan.h
+++ b/tests/fault_plan.h
@@ -12,7 +12,7 @@
   std::atomic<int> accept, socket, connect;
   std::atomic<int> read_socket, write_socket;  // on connections that are up: every eighth call
   std::atomic<int> slow_close;  // milliseconds that the close of a listening socket takes to begin
-  std::atomic<int> short_io;  // 1: reads and writes on sockets take a byte or a few at a time
+  std::atomic<int> short_io;    // 1: reads and writes on sockets take a byte or a few at a time
   // Files of the state folder, while it is set.
   std::atomic<int> write_file, open_file, rename_file, sync_file;
   std::atomic<int> half;       // 1: a write that fails has written half of its bytes
--- a/tests/node_ready_test.cpp
+++ b/tests/node_ready_test.cpp
@@ -28,6 +28,7 @@
       taken.serial = static_cast<state::Serial>(i);
       taken.id = "owed-" + std::to_string(i);
       taken.message_class = "safe";
+      taken.rules = {Effect::kSafe};
       taken.destination = 7;
       taken.give_up_at = Now() + seconds(60);
       taken.body = std::string(300, 'b');
--- a/tests/node_watch_test.cpp
+++ b/tests/node_watch_test.cpp
@@ -46,6 +46,7 @@
     message.id = id;
     message.give_up_at = now_ + seconds(20);
     message.destination = destination;
+    message.rules = BaseSettings().classes[0];
     w.OnMessage(message);
   }
   void Settle(Watcher& w, MessageId id, Result result) {
