A call's last byte never leaves behind its end or its key's life; 0.2 s of a key's life stay unused

A key's life of 1 s left 50 ms between the check and the last byte, less than a process may be held up: the least margin is 0.2 s. And bytes wait in this machine for an endpoint that does not read: a call that had timed out and was closed in order went on leaving once it read, and ran behind its end or beside the next attempt. A call that has not wholly arrived is reset when it is given up, and one that may not leave at any time (Brain::LastByteBy) is given up at that instant.

--- a/src/brain.h
+++ b/src/brain.h
@@ -213,6 +213,9 @@
   virtual void OnTurnEnd() = 0;
   // Between turns: whether a call that was sent, but waits for its connection, may still begin.
   virtual bool MayStillStart(MessageId id, Micros now) = 0;
+  // By when the last byte of its call must have left, if it may start: receivers act on a call once they have it
+  // whole. Max: nothing binds it but its time-out.
+  virtual Micros LastByteBy(MessageId id) const = 0;
   virtual Footprint footprint() const = 0;
   virtual SlowStartFigures slow_start() const = 0;
 };
--- a/src/brain/brain.cpp
+++ b/src/brain/brain.cpp
@@ -112,6 +112,11 @@
     return now < end && route.endpoint.state == EndpointState::kReady && now >= LaneOf(route).pause_until;
   }
 
+  Micros LastByteBy(MessageId id) const override {
+    const auto it = held_.find(id);
+    return it == held_.end() ? Micros::max() : RepeatUntil(it->second);
+  }
+
   void OnTurnEnd() override {
     if (watch_due_ <= now_) watch_due_ = Micros::max(), host_->Watch();
     turn_from_call_ = last_call_;
--- a/src/brain/claims.h
+++ b/src/brain/claims.h
@@ -7,7 +7,9 @@
 
 constexpr double kOverShare = 1.25;    // of its share: a tenant is past it
 constexpr double kKeyLifeUsed = 0.95;  // part of a key's life in which a repeat may still be sent
-constexpr int kRiskedCredit = 3;       // attempts that do not lessen the claim of what risks no more
+// The least that is left of it then: this process may be held up for 0.15 s between its clock and its write.
+constexpr Micros kLeastKeyLifeLeft = milliseconds(200);
+constexpr int kRiskedCredit = 3;  // attempts that do not lessen the claim of what risks no more
 
 struct Claims : RecoveryRules {
   // Whether the tenant is past its share here: an even part of its quota, or this sender's part of all.
@@ -25,7 +27,9 @@
   // When the key of a message that may have run is no longer sure to be remembered.
   Micros RepeatUntil(const Held& held) const {
     if (!held.message.past.may_have_run || held.message.rules.effect != Effect::kKeyed) return Micros::max();
-    return held.message.past.first_run + ToMicros(Seconds(held.message.rules.key_ttl) * kKeyLifeUsed);
+    const Micros life = held.message.rules.key_ttl;
+    return held.message.past.first_run +
+           std::min(ToMicros(Seconds(life) * kKeyLifeUsed), life - kLeastKeyLifeLeft);
   }
 
   // Worth of an answer that comes `ahead` from now.
--- a/src/net/call_connection.h
+++ b/src/net/call_connection.h
@@ -36,10 +36,11 @@
   const std::string& dial() const { return dial_; }
   Micros idle_since() const { return idle_since_; }
   bool silent() const { return stream_.silent(); }
-  // At once; neither the other side nor a timer that is due in this same pass says anything more.
+  // At once; neither the other side nor a timer that is due in this same pass says anything more. A call that
+  // has not arrived whole never does: closed in order, the system would go on sending it.
   void Close() {
-    timeout_.Stop(), phase_.Stop();
-    stream_.Close();
+    timeout_.Stop(), phase_.Stop(), StopLastByte();
+    stream_.undelivered() ? stream_.Abort() : stream_.Close();
   }
 
   // The call's end comes later, through Finished, in every case.
@@ -52,7 +53,7 @@
     reader_.Reset();
     timeout_.Start(request.timeout);
     if (!connect) {
-      if (pool_.may_start_(serial_)) return Send();
+      if (const StartPermit permit = pool_.may_start_(serial_)) return Send(*permit);
       failure_ = state::Ending::kNotStarted;
       return timeout_.Start(Micros(0));
     }
@@ -68,7 +69,7 @@
   void Rest(bool idle) {
     use_ = idle ? Use::kIdle : Use::kRest;
     idle_since_ = pool_.loop_.Now();
-    timeout_.Stop();
+    timeout_.Stop(), StopLastByte();
     if (idle) {
       phase_.Stop();
     } else {
@@ -90,13 +91,13 @@
     if (error != 0) return End(error == UV_ECONNREFUSED ? state::Ending::kRefused : state::Ending::kNeverUp);
     up_ = true;
     if (stream_.StartReading() != 0) return End(state::Ending::kBrokenBeforeSent);
-    if (!pool_.may_start_(serial_))
-      return pool_.Finished(*this, Result_(state::Ending::kNotStarted), After::kReuse);
-    Send();
+    const StartPermit permit = pool_.may_start_(serial_);
+    if (!permit) return pool_.Finished(*this, Result_(state::Ending::kNotStarted), After::kReuse);
+    Send(*permit);
   }
 
   // What it tells of its time counts from here: its connection has used up a part.
-  void Send() {
+  void Send(Micros last_byte_by) {
     request_.timeout = std::max(Micros(0), request_.timeout - (pool_.loop_.Now() - began_));
     const int error = stream_.Write(FormatCall(std::exchange(request_, {})));
     if (error != 0) {  // known before any byte left: no part of the call was sent
@@ -104,6 +105,19 @@
       return timeout_.Start(Micros(0));
     }
     if (stream_.unwritten() == 0) Sent();
+    if (last_byte_by == Micros::max()) return;
+    if (!last_byte_) last_byte_.emplace(pool_.loop_, [this] { OnLastByteDue(); });
+    last_byte_->Start(std::max(Micros(0), last_byte_by - pool_.loop_.Now()));
+  }
+
+  void StopLastByte() {
+    if (last_byte_) last_byte_->Stop();
+  }
+
+  // Bytes may wait in the system for a peer that does not read.
+  void OnLastByteDue() {
+    if (use_ != Use::kCall || !stream_.undelivered()) return;
+    End(sent_ ? state::Ending::kBrokenAfterSent : state::Ending::kBrokenBeforeSent);
   }
 
   void OnDrained() override { Sent(); }
@@ -189,7 +203,8 @@
   const std::string host_, dial_;
   HttpReader reader_;
   Stream stream_;
-  Timer timeout_, phase_;  // phase: connecting, an answer that has begun, or the rest of one
+  Timer timeout_, phase_;           // phase: connecting, an answer that has begun, or the rest of one
+  std::optional<Timer> last_byte_;  // of a call whose last byte may not leave at any time
   std::uint64_t serial_ = 0;
   CallRequest request_;  // until it is written
   Micros began_{0}, idle_since_{0};
--- a/src/net/call_pool.cpp
+++ b/src/net/call_pool.cpp
@@ -15,7 +15,7 @@
 
 }  // namespace
 
-CallPool::CallPool(Loop& loop, Limits limits, std::function<bool(std::uint64_t)> may_start,
+CallPool::CallPool(Loop& loop, Limits limits, std::function<StartPermit(std::uint64_t)> may_start,
                    std::function<void(const CallResult&)> ended)
     : loop_(loop),
       limits_(limits),
--- a/src/net/call_pool.h
+++ b/src/net/call_pool.h
@@ -6,6 +6,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -31,9 +32,12 @@
     std::size_t most_connections = 0;
   };
 
+  // Nothing: the call may not start. Else by when its last byte must have left; max: whenever it does.
+  using StartPermit = std::optional<Micros>;
+
   // `may_start` is asked before each call's first byte: from within Start on an idle connection, else when
   // the new one is up. What it denies ends as not started.
-  CallPool(Loop& loop, Limits limits, std::function<bool(std::uint64_t serial)> may_start,
+  CallPool(Loop& loop, Limits limits, std::function<StartPermit(std::uint64_t serial)> may_start,
            std::function<void(const CallResult&)> ended);
   ~CallPool();
 
@@ -64,7 +68,7 @@
 
   Loop& loop_;
   Limits limits_;
-  std::function<bool(std::uint64_t serial)> may_start_;
+  std::function<StartPermit(std::uint64_t serial)> may_start_;
   std::function<void(const CallResult&)> ended_;
   Owned busy_, rest_;                 // rest: answered, but the answer's body is not all in
   std::map<std::string, Idle> idle_;  // by endpoint, never by address: a new one may take a gone one's
--- a/src/net/loop.cpp
+++ b/src/net/loop.cpp
@@ -1,5 +1,6 @@
 #include "net/loop.h"
 
+#include <linux/sockios.h>
 #include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -97,6 +98,24 @@
            [](uv_handle_t* handle) { delete static_cast<Handle*>(handle->data); });
 }
 
+void Stream::Abort() {
+  if (handle_ == nullptr) return;
+  uv_tcp_t* tcp = &handle_->tcp;
+  handle_->owner = nullptr;
+  const auto free_handle = [](uv_handle_t* handle) { delete static_cast<Handle*>(handle->data); };
+  if (uv_tcp_close_reset(tcp, free_handle) != 0) uv_close(reinterpret_cast<uv_handle_t*>(tcp), free_handle);
+  handle_ = nullptr;
+}
+
+bool Stream::undelivered() const {
+  if (handle_ == nullptr) return false;
+  if (handle_->unwritten > 0) return true;
+  uv_os_fd_t descriptor = -1;
+  int count = 0;
+  if (uv_fileno(reinterpret_cast<const uv_handle_t*>(&handle_->tcp), &descriptor) != 0) return false;
+  return ioctl(descriptor, SIOCOUTQ, &count) == 0 && count > 0;
+}
+
 int Stream::Connect(const std::string& address) {
   sockaddr_storage to{};
   if (!ParseAddress(address, to)) return UV_EINVAL;
--- a/src/net/loop.h
+++ b/src/net/loop.h
@@ -89,6 +89,8 @@
   int Write(std::string bytes);  // a negative code where the connection is known to be broken
   int EndSending();              // after what was written; the other side may go on
   void Close();                  // at once; no callback comes any more, and the object may be kept
+  void Abort();                  // the same, and nothing that has not left yet does so any more
+  bool undelivered() const;      // what was written has not wholly arrived at the other side's system
   std::size_t unwritten() const;
   std::size_t unread() const;                         // bytes that have come and were not read
   bool ended_unread() const;                          // the other side has closed, which was not read yet
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -70,7 +70,7 @@
   void OnWatchLost(std::string_view reason, Micros outdated_from) override;
   void OnNoticesTaken(const std::vector<std::uint64_t>& serials) override;
   void OnNoticeUnreadable(std::string_view line) override;
-  bool MayBegin(std::uint64_t serial);
+  net::CallPool::StartPermit MayBegin(std::uint64_t serial);
   void OnCallEnded(const net::CallResult& result);
   void OnControl(std::uint64_t peer, std::string_view line) override;
   void OnControlRefused(std::uint64_t uid, std::string_view reason) override;
--- a/src/node/node_events.cpp
+++ b/src/node/node_events.cpp
@@ -77,14 +77,16 @@
 void Node::OnNoticeUnreadable(std::string_view line) { log_.Write(base::kNoticeUnreadable, line); }
 
 // Before a call's first byte: what binds it still, and its record on the disk.
-bool Node::MayBegin(std::uint64_t serial) {
-  if (!brain_->MayStillStart(serial, loop_.Now())) return false;
+net::CallPool::StartPermit Node::MayBegin(std::uint64_t serial) {
+  if (!brain_->MayStillStart(serial, loop_.Now())) return std::nullopt;
   const auto owed = state_.owed.find(serial);
-  if (owed == state_.owed.end() || !owed->second.out) return false;
-  if (!owed->second.connecting) return true;  // on record since its turn
-  if (state_.rewrite_due) return false;       // the file is in doubt
-  Reduce(state::CallBegins{serial});
-  return !journal_failed_;
+  if (owed == state_.owed.end() || !owed->second.out) return std::nullopt;
+  if (owed->second.connecting) {                  // else on record since its turn
+    if (state_.rewrite_due) return std::nullopt;  // the file is in doubt
+    Reduce(state::CallBegins{serial});
+    if (journal_failed_) return std::nullopt;
+  }
+  return brain_->LastByteBy(serial);
 }
 
 void Node::OnCallEnded(const net::CallResult& result) {
