A start that can't use the platform's file serves by the last good one; tests of the related paths

A running process keeps its settings when SIGHUP finds a file that is empty, half written or wrong; a process that started at such a moment ended with status 2, and what the one before it had taken on lay still. The file in force is kept in the folder (without the list; 64 KiB of the folder are set aside for clock, rules and this).

--- /dev/null
+++ b/src/node/beginning.cpp
@@ -0,0 +1,101 @@
+#include "node/beginning.h"
+
+#include <fmt/format.h>
+
+#include <chrono>
+#include <optional>
+#include <utility>
+
+#include "config/store.h"
+#include "node/last_good_file.h"
+
+namespace indigosaddle::node {
+namespace {
+
+using nlohmann::json;
+
+Beginning BeginWith(config::Sources sources, const std::string& operators_path, const StepHook& step) {
+  Beginning b;
+  b.operators_path = operators_path;
+  b.step = step ? step : [](const char*) {};
+  b.sources = std::move(sources);
+  if (operators_path.empty()) {
+    b.config = MakeConfig(b.sources);
+    return b;
+  }
+  // The folder with the generations is named by the file itself, so a file that can't be used is asked for
+  // that alone.
+  std::string unusable, folder;
+  try {
+    folder = MakeConfig(b.sources).state_folder;
+  } catch (const ConfigError& error) {
+    unusable = error.what();
+    const config::Effective e = config::Combine(b.sources);
+    if (const json* told = config::At(e.merged, "state", 0); told != nullptr && told->is_string()) {
+      folder = told->get<std::string>();
+    }
+    if (folder.empty()) throw;
+  }
+  config::History saved;
+  std::string damaged;
+  config::Store(folder, 0).Load(saved, damaged, true);
+  if (!unusable.empty() && saved.kept == 0) throw ConfigError(unusable);
+  const std::string file = b.sources.operators.text;
+  b.history = config::StartWith(
+      std::move(saved), file, config::Hash(file), unusable.empty(),
+      std::chrono::duration_cast<Micros>(std::chrono::system_clock::now().time_since_epoch()));
+  const config::Generation& kept = *b.history.Find(b.history.kept);
+  b.sources.operators.text = kept.document;
+  if (kept.document != file) b.sources.operators.name = fmt::format("generation {}", kept.number);
+  b.config = MakeConfig(b.sources);
+  b.trouble = unusable;
+  if (!damaged.empty()) b.trouble += (b.trouble.empty() ? "" : "; ") + damaged;
+  return b;
+}
+
+// The platform's last good file in place of the one that can't be used; nothing where there is none.
+std::optional<config::Sources> LastGoodSources(const std::map<std::string, std::string>& environment,
+                                               const std::string& operators_path) {
+  const auto folder = environment.find("EDGE_STATE");
+  const auto named = environment.find("EDGE_CONFIG");
+  if (folder == environment.end() || named == environment.end() || named->second.empty()) return std::nullopt;
+  const std::optional<std::string> text = LastGoodFile(folder->second).Load();
+  if (!text) return std::nullopt;
+  auto without_platform = environment;
+  without_platform.erase("EDGE_CONFIG");
+  config::Sources sources;
+  if (!operators_path.empty()) sources = ReadSources(without_platform, operators_path);
+  sources.environment = environment;
+  sources.platform = {true, "the last good platform file", *text};
+  return sources;
+}
+
+// Nothing where that can't be used either.
+std::optional<Beginning> BeginWithLastGood(const std::map<std::string, std::string>& environment,
+                                           const std::string& operators_path, const StepHook& step) {
+  try {
+    auto sources = LastGoodSources(environment, operators_path);
+    if (!sources) return std::nullopt;
+    return BeginWith(std::move(*sources), operators_path, step);
+  } catch (const ConfigError&) {
+    return std::nullopt;
+  }
+}
+
+}  // namespace
+
+Beginning Begin(const std::map<std::string, std::string>& environment, const std::string& operators_path,
+                const StepHook& step) {
+  try {
+    return BeginWith(ReadSources(environment, operators_path), operators_path, step);
+  } catch (const ConfigError& error) {
+    // A process that runs goes on by what it had when it reads a file that is broken, half written or gone.
+    // One that starts does the same: it owes what the one before it took on.
+    std::optional<Beginning> last_good = BeginWithLastGood(environment, operators_path, step);
+    if (!last_good) throw;
+    last_good->trouble = error.what() + (last_good->trouble.empty() ? "" : "; " + last_good->trouble);
+    return std::move(*last_good);
+  }
+}
+
+}  // namespace indigosaddle::node
--- a/src/node/changes.cpp
+++ b/src/node/changes.cpp
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "base/log_events.h"
+#include "node/shares.h"
 
 namespace indigosaddle::node {
 namespace {
@@ -13,12 +14,6 @@
 
 constexpr Micros kResumeAfter = std::chrono::seconds(60);
 
-std::string Ask(const json& request, const char* name) {
-  const auto it = request.find(name);
-  return it != request.end() && it->is_string() ? it->get<std::string>().substr(0, config::kMostDocument + 1)
-                                                : "";
-}
-
 std::vector<std::string> Lines(const std::string& text) {
   std::vector<std::string> lines;
   for (std::size_t from = 0; from <= text.size();) {
@@ -35,51 +30,12 @@
 
 }  // namespace
 
-Beginning Begin(const std::map<std::string, std::string>& environment, const std::string& operators_path,
-                StepHook step) {
-  Beginning b;
-  b.operators_path = operators_path;
-  b.step = step ? std::move(step) : [](const char*) {};
-  b.sources = ReadSources(environment, operators_path);
-  if (operators_path.empty()) {
-    b.config = MakeConfig(b.sources);
-    return b;
-  }
-  // The folder with the generations is named by the file itself, so a file that can't be used is asked for
-  // that alone.
-  std::string unusable, folder;
-  try {
-    folder = MakeConfig(b.sources).state_folder;
-  } catch (const ConfigError& error) {
-    unusable = error.what();
-    const config::Effective e = config::Combine(b.sources);
-    if (const json* told = config::At(e.merged, "state", 0); told != nullptr && told->is_string()) {
-      folder = told->get<std::string>();
-    }
-    if (folder.empty()) throw;
-  }
-  config::History saved;
-  std::string damaged;
-  config::Store(folder, 0).Load(saved, damaged, true);
-  if (!unusable.empty() && saved.kept == 0) throw ConfigError(unusable);
-  const std::string file = b.sources.operators.text;
-  b.history = config::StartWith(
-      std::move(saved), file, config::Hash(file), unusable.empty(),
-      std::chrono::duration_cast<Micros>(std::chrono::system_clock::now().time_since_epoch()));
-  const config::Generation& kept = *b.history.Find(b.history.kept);
-  b.sources.operators.text = kept.document;
-  if (kept.document != file) b.sources.operators.name = fmt::format("generation {}", kept.number);
-  b.config = MakeConfig(b.sources);
-  b.trouble = unusable;
-  if (!damaged.empty()) b.trouble += (b.trouble.empty() ? "" : "; ") + damaged;
-  return b;
-}
-
 Changes::Changes(net::Loop& loop, Owner& owner, Beginning beginning, base::Log& log)
     : loop_(loop),
       owner_(owner),
       log_(log),
       sources_(std::move(beginning.sources)),
+      last_good_(beginning.config.state_folder),
       operators_path_(std::move(beginning.operators_path)),
       step_(beginning.step ? std::move(beginning.step) : [](const char*) {}),
       transactions_(RulesOf(beginning.config)),
@@ -95,12 +51,17 @@
 }
 
 void Changes::Start() {
-  if (store_ == nullptr) return;
   if (!first_trouble_.empty()) log_.Write(base::kConfigUnusable, first_trouble_);
+  KeepLastGood();
+  if (store_ == nullptr) return;
   log_.Write(base::kConfigServes, first_history_.kept, sources_.operators.name);
   Feed(config::Started{std::move(first_history_), loop_.Now()});
 }
 
+void Changes::KeepLastGood() {
+  if (sources_.platform.given) last_good_.Keep(sources_.platform.text, MostLastGood(owner_.running()));
+}
+
 void Changes::Stop() { Feed(config::StopAsked{}); }
 
 // ---- Files read again -------------------------------------------------------------------------------------
@@ -125,6 +86,7 @@
     Config adopted = Changed(owner_.running(), told);
     changed = adopted.shown != owner_.running().shown;
     sources_.platform = next.platform;
+    KeepLastGood();
     ++reloads_;
     if (changed) owner_.Adopt(std::move(adopted));
   } catch (const ConfigError& error) {
@@ -281,55 +243,4 @@
   }
 }
 
-// ---- Requests ---------------------------------------------------------------------------------------------
-
-std::uint64_t Changes::Ticket(const Answer& answer) {
-  tickets_.emplace(++last_ticket_, answer);
-  return last_ticket_;
-}
-
-bool Changes::Request(const json& request, const Answer& answer) {
-  const std::string op = Ask(request, "op");
-  const bool changes = op == "apply" || op == "rollback";
-  if (changes && store_ == nullptr) {
-    answer({{"ok", false}, {"text", "the node has no operator's file: start it with --config"}});
-    return true;
-  }
-  if (op == "apply") {
-    config::Proposal proposal;
-    proposal.ticket = Ticket(answer);
-    proposal.author = Ask(request, "author").substr(0, 64);
-    proposal.reason = Ask(request, "reason").substr(0, 256);
-    proposal.document = Ask(request, "document");
-    proposal.wait = request.value("wait", json(false)) == json(true);
-    Feed(config::Proposed{Judged(std::move(proposal)), loop_.Now()});
-  } else if (op == "rollback") {
-    const json number = request.value("generation", json(0));
-    Feed(config::RollbackAsked{Ticket(answer), number.is_number_unsigned() ? number.get<std::uint64_t>() : 0,
-                               Ask(request, "author").substr(0, 64), Ask(request, "reason").substr(0, 256),
-                               loop_.Now()});
-  } else if (op == "history") {
-    answer({{"ok", true}, {"generations", config::ListOf(transactions_.history())}});
-  } else if (op == "show") {
-    json all = json::array();
-    for (const config::Shown& shown : owner_.running().shown) {
-      all.push_back({{"path", shown.path}, {"value", shown.value}, {"from", shown.from}});
-    }
-    answer({{"ok", true}, {"values", all}});
-  } else {
-    return false;
-  }
-  return true;
-}
-
-json Changes::Status() const {
-  const Micros left =
-      transactions_.on_trial() ? std::max(Micros(0), transactions_.trial_ends() - loop_.Now()) : Micros(0);
-  return {{"generation", transactions_.in_force()},
-          {"kept", transactions_.history().kept},
-          {"on_trial", transactions_.on_trial()},
-          {"trial_left_ms", left.count() / 1000},
-          {"waiting", transactions_.queued()}};
-}
-
 }  // namespace indigosaddle::node
--- a/src/node/changes.h
+++ b/src/node/changes.h
@@ -16,27 +16,12 @@
 #include "config/store.h"
 #include "config/transaction.h"
 #include "net/loop.h"
+#include "node/beginning.h"
 #include "node/config.h"
+#include "node/last_good_file.h"
 
 namespace indigosaddle::node {
 
-// Called at each step of a change by its name, so that a test can end the process there. Nothing in service.
-using StepHook = std::function<void(const char*)>;
-
-// What a process starts with.
-struct Beginning {
-  Config config;
-  config::Sources sources;  // with the operator's text that is in force
-  std::string operators_path;
-  config::History history;
-  std::string trouble;  // of the file or of the saved generations; the last kept one serves
-  StepHook step;
-};
-
-// Throws ConfigError where there is neither a usable file nor a kept generation.
-Beginning Begin(const std::map<std::string, std::string>& environment, const std::string& operators_path,
-                StepHook step = {});
-
 class Changes {
  public:
   class Owner {
@@ -50,7 +35,8 @@
   Changes(net::Loop& loop, Owner& owner, Beginning beginning, base::Log& log);
 
   void Start();
-  void Reload();                                                  // SIGHUP: reads both files again
+  void KeepLastGood();  // the platform's file in force, for a start that can't use the one that it finds
+  void Reload();        // SIGHUP: reads both files again
   std::uint64_t reloads() const { return reloads_; }              // taken at SIGHUP
   std::uint64_t reload_errors() const { return reload_errors_; }  // turned down at SIGHUP
   void Stop();
@@ -84,6 +70,7 @@
   Owner& owner_;
   base::Log& log_;
   config::Sources sources_;  // in force
+  LastGoodFile last_good_;
   std::uint64_t reloads_ = 0, reload_errors_ = 0;
   const std::string operators_path_;
   const StepHook step_;
--- a/src/node/node_figures.cpp
+++ b/src/node/node_figures.cpp
@@ -114,6 +114,7 @@
   TellFleet();
   clock_.Save();
   SaveRules();
+  changes_.KeepLastGood();
   log_.Tick();
   tick_timer_.Start(kTickEvery);
 }
--- a/src/node/shares.cpp
+++ b/src/node/shares.cpp
@@ -15,6 +15,15 @@
 constexpr std::size_t kLeastConnections = 8;
 constexpr std::size_t kClientsPart = 60;  // percent; the rest is for calls
 
+// What the folder holds beside journal and generations: the clock, the rules, the platform's last good file,
+// each with its next text while that is written. A small folder has a part of that.
+constexpr std::size_t kSmallFiles = std::size_t{64} * 1024;
+constexpr std::size_t kSmallFilesPart = 32;  // of the folder, at the most one in so many
+
+std::size_t SmallFilesRoom(const Config& config) {
+  return std::min(kSmallFiles, config.disk_bytes / kSmallFilesPart);
+}
+
 std::size_t Connections(const Config& config) {
   const std::size_t least = 2 * kLeastConnections;
   return std::max(least, config.sockets > kOwnDescriptors ? config.sockets - kOwnDescriptors : 0);
@@ -40,11 +49,13 @@
 }
 
 std::size_t JournalRoom(const Config& config, bool shared) {
-  const std::size_t all =
-      config.disk_bytes - (config.has_operators_file ? config::StoreRoom(config.disk_bytes) : 0);
+  const std::size_t all = config.disk_bytes - SmallFilesRoom(config) -
+                          (config.has_operators_file ? config::StoreRoom(config.disk_bytes) : 0);
   return shared ? all / 2 : all;
 }
 
+std::size_t MostLastGood(const Config& config) { return SmallFilesRoom(config) / 4; }
+
 std::size_t MostJournal(const Config& config) { return std::max(config.disk_bytes, config.memory_bytes / 4); }
 
 state::Limits LimitsOf(const Config& config) {
--- a/src/node/shares.h
+++ b/src/node/shares.h
@@ -21,6 +21,7 @@
 // What the journal may fill of the folder: the generations, where there are any, have room of their own, and
 // two processes that share the folder have half each.
 std::size_t JournalRoom(const Config& config, bool shared);
+std::size_t MostLastGood(const Config& config);  // bytes of the platform's last good file
 // The longest journal that is read at the start: one from before `disk_mb` was lowered is still owed.
 std::size_t MostJournal(const Config& config);
 state::Limits LimitsOf(const Config& config);
--- a/tests/brain_settings_test.cpp
+++ b/tests/brain_settings_test.cpp
@@ -151,6 +151,33 @@
   EXPECT_EQ(node.CountSends(4), 1);
 }
 
+// A call whose connection is not up yet when its class changes: its message's own window binds it.
+TEST_F(SettingsChange, ACallThatWaitsForItsConnectionGoesByItsMessagesRules) {
+  Change(milliseconds(100), [](Settings& s) { s.classes[0].key_ttl = seconds(2); });
+  node.Turn(seconds(1), [&] { node.Take(1, 1); });
+  node.Turn(milliseconds(1500), [&] { node.Settle(1, Result::kReset); });
+  for (Micros now = milliseconds(1510); now < milliseconds(2700); now += milliseconds(10)) node.Turn(now);
+  ASSERT_EQ(node.CountSends(1), 2);
+  Change(milliseconds(2700), [](Settings& s) { s.classes[0].key_ttl = seconds(20); });
+  EXPECT_TRUE(node.brain().MayStillStart(1, milliseconds(2750)));
+  EXPECT_FALSE(node.brain().MayStillStart(1, milliseconds(2850)));
+  Change(milliseconds(2710), [](Settings& s) { s.classes[0].effect = Effect::kSafe; });
+  EXPECT_FALSE(node.brain().MayStillStart(1, milliseconds(2850)));
+}
+
+TEST_F(SettingsChange, AttemptsLoweredBelowThoseMadeEndItByItsOwnRules) {
+  for (const Effect effect : {Effect::kUnsafe, Effect::kSafe}) {
+    TestNode one(With([&](Settings& s) { s.classes[0].effect = effect; }));
+    one.Turn(Micros(0), [&] { one.List({TestNode::At(1, "a")}); });
+    one.Turn(seconds(1), [&] { one.Take(1, 1); });
+    one.Configure(With([](Settings& s) { s.max_attempts = 1, s.classes[0].effect = Effect::kSafe; }));
+    one.Turn(seconds(2), [&] { one.Settle(1, Result::kTimeout); });
+    EXPECT_EQ(one.Failed(1), effect == Effect::kUnsafe);
+    EXPECT_EQ(one.Refused(1), effect == Effect::kSafe);
+    EXPECT_EQ(one.causes[1], GiveUpCause::kNoAttemptsLeft);
+  }
+}
+
 // Its class is gone from the settings: it is delivered all the same, as patiently as any.
 TEST_F(SettingsChange, AMessageOfAClassThatIsGoneIsDelivered) {
   node.Turn(seconds(1), [&] {
--- a/tests/stand_ins.h
+++ b/tests/stand_ins.h
@@ -97,7 +97,7 @@
 
   // Starts it and waits until it serves. False where it ended instead.
   bool Start(rlim_t descriptors = 0, int signal_at_once = 0) {
-    WriteConfig(config.dump());
+    WriteConfig(raw_config ? *raw_config : config.dump());
     if (!toml.empty()) WriteToml(toml);
     const std::string log_path = folder + "/log" + std::to_string(++lives_);
     const std::string state = shared_state.empty() ? folder + "/state" : shared_state;
@@ -182,8 +182,9 @@
   }
 
   nlohmann::json config;
-  std::string toml, kill_at;  // where toml is given it is the configuration, and config is not
-  int log_descriptor = -1;    // where standard error goes instead, if not negative
+  std::optional<std::string> raw_config;  // the file's text instead, where given
+  std::string toml, kill_at;              // where toml is given it is the configuration, and config is not
+  int log_descriptor = -1;                // where standard error goes instead, if not negative
   std::string folder;
   std::string shared_state;  // another process's state folder, where not empty
   int port = 0;
