The soak changes settings in flight and fails calls to the system; replies of a turn go out before its calls

Settings: effects and key's life of a class, attempts, a class that comes and goes, files that are broken, an undo, a file replaced without a signal; each message is judged by its class's rules when its client wrote it. Refused messages are handed in again. A call's arrival is told by the system, not by a thread that may be late; the time in which a process is being killed is marked on both sides, so that nothing beside it is excused.

--- a/src/base/log_events.h
+++ b/src/base/log_events.h
@@ -178,11 +178,11 @@
       kJournalFound, kJournalDamaged, kResumed, kJournalWritable, kKnownUnreadable, kListSkipped, kWatchLost,
       kWatchBack, kDiscoveryMoved, kNoticeUnreadable, kMessageEnded, kMessageDelivered, kMessageResumed,
       kRequestRefused, kCallEnded, kCallDelivered, kRecovery, kClientEnded, kConfigServes, kConfigRefused,
-      kConfigOnTrial, kConfigKept, kConfigUndone, kConfigInterrupted, kConfigNeedsRestart, kClassRules,
-      kRulesUnknown, kRulesUnsure, kConfigUnusable, kConfigSame, kConfigStoreFailed, kControlOpen,
-      kControlFailed, kControlRefused, kJournalShared, kJournalTakenOver, kQuiesced, kResumedWork,
-      kFleetMember, kFleetStanding, kFleetLease, kFleetSite, kFleetSenders, kFleetTrouble, kLogHeldBack,
-      kLogDropped);
+      kConfigOnTrial, kConfigKept, kConfigUndone, kConfigInterrupted, kConfigNeedsRestart, kConfigRead,
+      kClassRules, kRulesUnknown, kRulesUnsure, kConfigUnusable, kConfigSame, kConfigStoreFailed,
+      kControlOpen, kControlFailed, kControlRefused, kJournalShared, kJournalTakenOver, kQuiesced,
+      kResumedWork, kFleetMember, kFleetStanding, kFleetLease, kFleetSite, kFleetSenders, kFleetTrouble,
+      kLogHeldBack, kLogDropped);
 }
 
 }  // namespace indigosaddle::base
--- a/src/base/log_events_config.h
+++ b/src/base/log_events_config.h
@@ -45,6 +45,11 @@
     kWarn,
     "The platform's file changes a value that holds until a restart; the old one goes on.",
     {{{"value", "its name"}}}};
+inline constexpr Event<kCount, kCount> kConfigRead{
+    "config.read",
+    kInfo,
+    "SIGHUP: the configuration files were read again, and what may change is in force.",
+    {{{"taken", "files taken since the start"}, {"refused", "files turned down since the start"}}}};
 inline constexpr Event<kText, kText, kText> kClassRules{
     "class.rules_changed",
     kInfo,
--- a/src/node/changes.cpp
+++ b/src/node/changes.cpp
@@ -67,6 +67,11 @@
 // ---- Files read again -------------------------------------------------------------------------------------
 
 void Changes::Reload() {
+  ReadFiles();
+  log_.Write(base::kConfigRead, reloads_, reload_errors_);
+}
+
+void Changes::ReadFiles() {
   config::Sources next;
   try {
     next = ReadSources(EdgeEnvironment(), operators_path_);
--- a/src/node/changes.h
+++ b/src/node/changes.h
@@ -49,6 +49,7 @@
   nlohmann::json Status() const;
 
  private:
+  void ReadFiles();
   void Feed(config::TransactionEvent event);
   void Do(const config::Save&);
   void Do(const config::Apply& e);
--- a/src/state/reducer.cpp
+++ b/src/state/reducer.cpp
@@ -1,6 +1,7 @@
 #include "state/reducer.h"
 
 #include <algorithm>
+#include <iterator>
 #include <set>
 #include <utility>
 
@@ -174,15 +175,20 @@
     Commit({});
   }
 
-  // Taken records come first: what else this turn recorded may speak of these messages.
+  // Taken records come first: what else this turn recorded may speak of these messages. So do their replies:
+  // a process that is killed behind a call's first byte has told its client that the message is taken on.
   void operator()(const TurnEnded&) {
     std::string bytes;
+    Effects replies;
     for (Serial serial : state_.fresh) {
       Owed& owed = state_.owed.at(serial);
       AppendRecord(bytes, owed.taken);
-      state_.after_write.emplace_back(
+      replies.emplace_back(
           Reply{*owed.unanswered, Answer::kTaken, Micros(0), owed.taken.id, owed.taken.message_class});
     }
+    auto& after_write = state_.after_write;
+    after_write.insert(after_write.begin(), std::make_move_iterator(replies.begin()),
+                       std::make_move_iterator(replies.end()));
     Commit(std::move(bytes));
   }
 
--- /dev/null
+++ b/tests/mapped_fault_plan.h
@@ -0,0 +1,44 @@
+// A FaultPlan in a mapped file, and the variables by which a process loads fault_shim.cpp with it.
+#pragma once
+
+#include <fcntl.h>
+#include <gtest/gtest.h>
+#include <sys/mman.h>
+#include <unistd.h>
+
+#include <new>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "fault_plan.h"
+
+namespace indigosaddle::testing {
+
+class MappedFaultPlan {
+ public:
+  // `file` is made; files whose paths begin with `folder` are those that fail.
+  MappedFaultPlan(const std::string& file, std::string folder) : file_(file), folder_(std::move(folder)) {
+    const int descriptor = open(file.c_str(), O_RDWR | O_CREAT | O_CLOEXEC, 0600);
+    EXPECT_EQ(ftruncate(descriptor, sizeof(FaultPlan)), 0);
+    void* mapped = mmap(nullptr, sizeof(FaultPlan), PROT_READ | PROT_WRITE, MAP_SHARED, descriptor, 0);
+    close(descriptor);
+    plan_ = new (mapped) FaultPlan{};
+  }
+  ~MappedFaultPlan() { munmap(plan_, sizeof(FaultPlan)); }
+  MappedFaultPlan(const MappedFaultPlan&) = delete;
+  MappedFaultPlan& operator=(const MappedFaultPlan&) = delete;
+
+  std::vector<std::string> Variables() const {
+    return {std::string("LD_PRELOAD=") + INDIGOSADDLE_FAULT_SHIM, "ASAN_OPTIONS=verify_asan_link_order=0",
+            "FAULT_SHIM_PLAN=" + file_, "FAULT_SHIM_FOLDER=" + folder_};
+  }
+  FaultPlan& operator*() { return *plan_; }
+  FaultPlan* operator->() { return plan_; }
+
+ private:
+  const std::string file_, folder_;
+  FaultPlan* plan_ = nullptr;
+};
+
+}  // namespace indigosaddle::testing
--- a/tests/node_folder_faults_test.cpp
+++ b/tests/node_folder_faults_test.cpp
@@ -33,11 +33,11 @@
   ASSERT_FALSE(taken.empty());
   const FolderFault& fault = GetParam();
   plan->half = fault.half ? 1 : 0;
-  (plan->*fault.call) = fault.error;
+  (*plan).*fault.call = fault.error;
   for (std::string& id : Feed("during", milliseconds(1200), "c=unsafe,d=30000,dest=7"))
     taken.push_back(std::move(id));
   if (fault.killed) node.Kill(SIGKILL);
-  (plan->*fault.call) = 0;
+  (*plan).*fault.call = 0;
   if (fault.killed) {
     ASSERT_TRUE(node.Start());
   }
--- a/tests/soak_world.h
+++ b/tests/soak_world.h
@@ -2,6 +2,8 @@
 // long as they are open, and the record of both, from which the rules are judged at the end.
 #pragma once
 
+#include <netinet/tcp.h>
+
 #include <algorithm>
 #include <atomic>
 #include <chrono>
@@ -19,6 +21,9 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
+constexpr const char* kShiftingClass = "shifting";  // its rules change
+constexpr const char* kGuestClass = "guest";        // it comes and goes
+
 enum class CallAnswer { kServed, kRefused, kError, kReset, kSilent };
 
 // A call as an endpoint saw it.
@@ -33,9 +38,10 @@
   std::string reply;       // empty: none came
   bool closed = false;     // its connection ended instead, within the time that a client waits
   bool node_died = false;  // its process was killed meanwhile
-  bool unsafe = false;
-  Clock::time_point begun;
-  milliseconds life{0};
+  std::string message_class;
+  Clock::time_point born;   // of the message, however often it was handed in
+  Clock::time_point begun;  // of this handing-in
+  milliseconds life{0};     // from then
 };
 
 // Everything that clients and endpoints saw. For use from any thread.
@@ -90,7 +96,7 @@
   bool React(Socket& socket, const HttpRequest& request) {
     const std::string id = request.headers.at("x-trace-id");
     const CallAnswer answer = Draw();
-    const auto at = Clock::now();
+    const auto at = ArrivedAt(socket);
     bool keep = true;
     if (answer == CallAnswer::kServed) keep = socket.Write(Answer(200));
     if (answer == CallAnswer::kRefused) keep = socket.Write(Answer(503));
@@ -99,6 +105,14 @@
     record_.Called(id, {at, SenderOf(id), answer});
     return answer == CallAnswer::kSilent ? Hang(socket) : keep;
   }
+  // By the system: this thread may have been held up since.
+  static Clock::time_point ArrivedAt(const Socket& socket) {
+    tcp_info about{};
+    socklen_t size = sizeof about;
+    const auto now = Clock::now();
+    if (getsockopt(socket.get(), IPPROTO_TCP, TCP_INFO, &about, &size) != 0) return now;
+    return now - milliseconds(about.tcpi_last_data_recv);
+  }
   CallAnswer Draw() {
     const std::lock_guard lock(mutex_);
     const double drawn = std::uniform_real_distribution<double>(0, 1)(random_);
@@ -121,7 +135,8 @@
 // end of a resting connection is sent once more, on a new one; on that it must get its answer.
 class SoakClient {
  public:
-  // `port` is the node's, 0 while it is down; `kills` counts its kills so far.
+  // `port` is the node's, 0 while it is down; `kills` is odd while its process is being killed or may die by
+  // itself.
   struct NodeView {
     std::atomic<int> port{0}, kills{0};
   };
@@ -146,22 +161,38 @@
 
   void Run() {
     for (int number = 0; !stop_; ++number) {
-      SendOne(prefix_ + std::to_string(number));
+      SentMessage message;
+      message.message_class = Pick({"safe", "unsafe", kShiftingClass, kShiftingClass, kGuestClass});
+      message.life = milliseconds(std::uniform_int_distribution<int>(800, 3000)(random_));
+      message.born = Clock::now();
+      destination_ = std::uniform_int_distribution<int>(1, destinations_)(random_);
+      const std::string id = prefix_ + std::to_string(number);
+      if (HandIn(id, "", message)) HandInAgain(id, message);
       std::this_thread::sleep_for(pause_ * std::uniform_int_distribution<int>(1, 3)(random_) / 2);
     }
   }
 
-  void SendOne(const std::string& id) {
-    SentMessage message;
-    message.unsafe = std::uniform_int_distribution<int>(0, 1)(random_) == 0;
-    message.life = milliseconds(std::uniform_int_distribution<int>(800, 3000)(random_));
-    const int destination = std::uniform_int_distribution<int>(1, destinations_)(random_);
-    const std::string bytes = ClientStandIn::Enqueue(id, std::string(message.unsafe ? "c=unsafe" : "c=safe") +
+  std::string Pick(const std::vector<std::string>& names) {
+    return names[std::uniform_int_distribution<std::size_t>(0, names.size() - 1)(random_)];
+  }
+
+  // Behind a refusal, with what is left of its time, and a new id.
+  void HandInAgain(const std::string& id, SentMessage message) {
+    std::this_thread::sleep_for(milliseconds(std::uniform_int_distribution<int>(20, 300)(random_)));
+    const auto used = std::chrono::duration_cast<milliseconds>(Clock::now() - message.born);
+    message.life -= used;
+    if (message.life > milliseconds(200)) HandIn(id + "-again", ",r=1", message);
+  }
+
+  // True where it was refused.
+  bool HandIn(const std::string& id, const std::string& more, SentMessage& message) {
+    const std::string bytes = ClientStandIn::Enqueue(id, "c=" + message.message_class + ",k=" + id +
                                                              ",d=" + std::to_string(message.life.count()) +
-                                                             ",dest=" + std::to_string(destination));
+                                                             ",dest=" + std::to_string(destination_) + more);
     const int kills = node_.kills;
     const bool rested = socket_.open();
     message.begun = Clock::now();
+    message.reply.clear();
     bool written = (rested || Connect()) && socket_.Write(bytes);
     if (written) message.reply = ReadLine();
     if (message.reply.empty() && rested && Clock::now() - message.begun < kAnswer) {  // it crossed the end
@@ -172,8 +203,9 @@
     }
     message.closed = written && message.reply.empty() && Clock::now() - message.begun < kAnswer;
     if (message.reply.empty()) socket_.Close();
-    message.node_died = node_.kills != kills;
+    message.node_died = kills % 2 == 1 || node_.kills != kills;
     if (written) record_.Sent(id, message);
+    return message.reply.starts_with("-BUSY");
   }
 
   bool Connect() {
@@ -200,6 +232,7 @@
   NodeView& node_;
   const std::string prefix_;
   const int destinations_;
+  int destination_ = 1;
   std::mt19937_64 random_;
   const milliseconds pause_;
   Socket socket_;
--- a/tests/stand_ins.h
+++ b/tests/stand_ins.h
@@ -112,6 +112,7 @@
       words.emplace_back("--kill-at");
       words.push_back(kill_at.empty() ? "none" : kill_at);
     }
+    variables.insert(variables.end(), extra_variables.begin(), extra_variables.end());
     for (char** variable = environ; *variable != nullptr; ++variable) {
       const std::string_view told = *variable;
       if (!told.starts_with("EDGE_STATE=") && (!toml.empty() || !told.starts_with("EDGE_CONFIG=")))
@@ -182,9 +183,10 @@
   }
 
   nlohmann::json config;
-  std::optional<std::string> raw_config;  // the file's text instead, where given
-  std::string toml, kill_at;              // where toml is given it is the configuration, and config is not
-  int log_descriptor = -1;                // where standard error goes instead, if not negative
+  std::vector<std::string> extra_variables;  // "NAME=value", for its environment
+  std::optional<std::string> raw_config;     // the file's text instead, where given
+  std::string toml, kill_at;                 // where toml is given it is the configuration, and config is not
+  int log_descriptor = -1;                   // where standard error goes instead, if not negative
   std::string folder;
   std::string shared_state;  // another process's state folder, where not empty
   int port = 0;
--- a/tests/system_faults.h
+++ b/tests/system_faults.h
@@ -1,17 +1,14 @@
 // A built node whose calls to the system fail as a test asks (fault_shim.cpp).
 #pragma once
 
-#include <fcntl.h>
 #include <gtest/gtest.h>
-#include <sys/mman.h>
 
 #include <chrono>
-#include <new>
 #include <string>
 #include <thread>
 #include <vector>
 
-#include "fault_plan.h"
+#include "mapped_fault_plan.h"
 #include "stand_ins.h"
 
 namespace indigosaddle::testing {
@@ -21,21 +18,8 @@
 
 class SystemFaults : public NodeTest {
  protected:
-  SystemFaults() : path_(node.folder + "/plan") {
-    const int file = open(path_.c_str(), O_RDWR | O_CREAT | O_CLOEXEC, 0600);
-    EXPECT_EQ(ftruncate(file, sizeof(FaultPlan)), 0);
-    void* mapped = mmap(nullptr, sizeof(FaultPlan), PROT_READ | PROT_WRITE, MAP_SHARED, file, 0);
-    close(file);
-    plan = new (mapped) FaultPlan{};
-    setenv("LD_PRELOAD", INDIGOSADDLE_FAULT_SHIM, 1);
-    setenv("ASAN_OPTIONS", "verify_asan_link_order=0", 1);
-    setenv("FAULT_SHIM_PLAN", path_.c_str(), 1);
-    setenv("FAULT_SHIM_FOLDER", (node.folder + "/state").c_str(), 1);
-  }
-  ~SystemFaults() override {
-    for (const char* name : {"LD_PRELOAD", "ASAN_OPTIONS", "FAULT_SHIM_PLAN", "FAULT_SHIM_FOLDER"})
-      unsetenv(name);
-    munmap(plan, sizeof(FaultPlan));
+  SystemFaults() : plan(node.folder + "/plan", node.folder + "/state") {
+    node.extra_variables = plan.Variables();
   }
 
   // Takes messages on, one every 20 ms, for so long; the ids of those that got +OK. Each must be answered.
@@ -68,10 +52,7 @@
     }
   }
 
-  FaultPlan* plan = nullptr;
-
- private:
-  std::string path_;
+  MappedFaultPlan plan;
 };
 
 }  // namespace indigosaddle::testing
