--- a/src/base/log.cpp
+++ b/src/base/log.cpp
@@ -13,6 +13,7 @@
 #include <cerrno>
 #include <climits>
 #include <cmath>
+#include <exception>
 #include <mutex>
 #include <nlohmann/json.hpp>
 #include <utility>
@@ -49,7 +50,8 @@
 
 bool Plain(std::string_view text) {
   if (text.empty()) return false;
-  for (const unsigned char c : text) {
+  for (const char character : text) {
+    const auto c = static_cast<unsigned char>(character);
     if (c <= ' ' || c == '"' || c == '\\' || c == '=' || c >= 0x7f) return false;
   }
   return true;
@@ -151,7 +153,7 @@
 
 void LineRing::Flush() {
   while (!lines_.empty()) {
-    const std::string_view rest = std::string_view(lines_.front()).substr(offset_);
+    const std::string_view rest = std::string_view{lines_.front()}.substr(offset_);
     const std::ptrdiff_t wrote = WriteSome(rest);
     if (wrote < 0 && errno == EINTR) continue;
     if (wrote <= 0) return;
@@ -173,7 +175,14 @@
   Configure(options);
 }
 
-Log::~Log() { Tick(); }
+// What waits is lost where even that throws: the process ends.
+Log::~Log() {
+  try {
+    Tick();
+  } catch (const std::exception&) {
+    dropped_ += 1;
+  }
+}
 
 void Log::Configure(const LogOptions& options) {
   options_ = options;
--- a/src/brain/brain.cpp
+++ b/src/brain/brain.cpp
@@ -19,9 +19,10 @@
 
   void OnList(const std::vector<Endpoint>& entries, bool whole) override {
     outdated_from_ = Micros::max();
-    for (auto& [id, home] : destinations_)
+    for (auto& [id, home] : destinations_) {
       for (Route& route : home.routes)
         if (whole) route.endpoint.state = EndpointState::kGone, home.listed = now_;
+    }
     if (!entries.empty() && !std::exchange(list_told_, true)) LookAtAll();
     for (const Endpoint& entry : entries) {
       Destination& home = destinations_[entry.destination];
@@ -52,16 +53,18 @@
     held.message = message, held.c = ClassOf(message);
     ++(held.home = &destinations_[message.destination])->held;
     EarnAt(*held.home);
-    for (Route& route : held.home->routes)  // apart: to each an even part of it
+    for (Route& route : held.home->routes) {  // apart: to each an even part of it
       if (route.kind.separate_routes)
         CountAsked(route.own, 1.0 / static_cast<double>(held.home->routes.size()));
+    }
     CountAsked(held.home->shared, 1);
     held.over_share = TakeShare(message.tenant);
     ++open_, Place(held), JoinOrder(held);
-    if (message.ended)
+    if (message.ended) {
       held.untold = true, End(held);
-    else if (message.past.attempts > 0)
+    } else if (message.past.attempts > 0) {
       DistrustAll(*held.home);
+    }
   }
 
   void OnOutcome(const Outcome& outcome) override {
@@ -90,9 +93,10 @@
   void OnStop(Micros at) override { stop_at_ = at; }
 
   void OnZoneUnsure(int zone) override {
-    for (auto& [id, home] : destinations_)
+    for (auto& [id, home] : destinations_) {
       for (Route& route : home.routes)
         if (route.endpoint.zone == zone) LoseZone(route);
+    }
   }
 
   void OnSettings(Settings settings) override {
--- a/src/brain/outcomes.h
+++ b/src/brain/outcomes.h
@@ -58,9 +58,10 @@
     const bool worn = call.idle_for > Micros(0) && result == Result::kReset;
     const bool no_place = result == Result::kNoConnection && outcome.latency < kMoment && Crowded(route);
     const bool explained = limit || result == Result::kGarbled || worn || no_place;
-    if (no_place)
+    if (no_place) {
       route.rest_until =
           now_ + ToMicros((1 + Draw()) * Seconds(kMoment) * std::exp2(std::min(route.explained, 2)));
+    }
     route.explained = explained ? route.explained + 1 : 0;
     const bool in_a_run = route.explained > (limit || no_place ? 1 : kExplainedRun);
     if (explained && !in_a_run && lane.health.recovery != Recovery::kProbing) {
--- a/src/brain/repeat_rules.cpp
+++ b/src/brain/repeat_rules.cpp
@@ -87,13 +87,11 @@
   return changed;
 }
 
-void RuleHistory::Merge(Spans spans, Micros now) {
-  for (auto& [name, others] : spans) {
+void RuleHistory::Merge(const Spans& spans, Micros now) {
+  for (const auto& [name, others] : spans) {
     std::vector<RuleSpan>& own = spans_[name];
-    for (RuleSpan& span : others) {
-      span.until = std::min(span.until, now);
-      own.insert(own.begin(), span);
-    }
+    for (const RuleSpan& span : others)
+      own.insert(own.begin(), RuleSpan{span.rules, span.deadline, std::min(span.until, now)});
   }
   Prune(now);
 }
--- a/src/brain/repeat_rules.h
+++ b/src/brain/repeat_rules.h
@@ -58,7 +58,7 @@
   // These classes are in force from now on. False where nothing changed.
   bool Change(const Classes& classes, Micros now);
   // Another process's history of the same node, up to now.
-  void Merge(Spans spans, Micros now);
+  void Merge(const Spans& spans, Micros now);
 
   BirthRules RulesFor(const std::string& message_class, const HandIn& hand_in) const;
   const Spans& spans() const { return spans_; }
--- a/src/brain/slow_start.h
+++ b/src/brain/slow_start.h
@@ -119,10 +119,11 @@
     bool shared = false;
     for (Route& route : home.routes) {
       const double part = route.kind.separate_routes ? 1 : 1 / static_cast<double>(home.routes.size());
-      if (route.kind.separate_routes)
+      if (route.kind.separate_routes) {
         Earn(route.own.health, route.own, 1, waiting);
-      else
+      } else {
         Earn(route.health, home.shared, part, waiting), shared = true;
+      }
     }
     if (shared || home.routes.empty()) Earn(home.shared.health, home.shared, 1, waiting);
   }
--- a/src/brain/state.h
+++ b/src/brain/state.h
@@ -162,9 +162,10 @@
   // For messages of a class that the settings no longer have: as patient as any, and last.
   void SetUnknownClass() {
     unknown_ = {};
-    for (const ClassSettings& c : set_.classes)
+    for (const ClassSettings& c : set_.classes) {
       unknown_.aim = std::max(unknown_.aim, c.aim),
       unknown_.deadline = std::max(unknown_.deadline, c.deadline);
+    }
   }
 
   double Draw() { return static_cast<double>(random_()) / static_cast<double>(random_.max()); }  // 0 to 1
--- a/src/cli/common.cpp
+++ b/src/cli/common.cpp
@@ -98,7 +98,7 @@
     answer.append(block, static_cast<std::size_t>(count));
     if (answer.size() > kMostAnswer) throw Failure(Exit::kFailed, socket_path + ": the answer has no end");
   }
-  const auto parsed = nlohmann::json::parse(answer.substr(0, answer.find('\n')), nullptr, false);
+  auto parsed = nlohmann::json::parse(answer.substr(0, answer.find('\n')), nullptr, false);
   if (!parsed.is_object()) throw Failure(Exit::kFailed, socket_path + ": the answer can't be read");
   return parsed;
 }
--- a/src/config/document.cpp
+++ b/src/config/document.cpp
@@ -120,8 +120,8 @@
   void Section(const toml::table& table, const std::string& section, const std::string& path,
                std::size_t index) {
     for (const auto& [key, node] : table) {
-      const std::string name(key.str()), full = path + "." + name;
-      const Item* item = Find(section + "." + name);
+      const std::string name(key.str()), full = fmt::format("{}.{}", path, name);
+      const Item* item = Find(fmt::format("{}.{}", section, name));
       if (item == nullptr) {
         Unknown(key.source(), full, name, names_.at(section));
         continue;
@@ -295,7 +295,7 @@
   }
   const json* socket = At(told, "operator.control.socket", 0);
   if (socket != nullptr && socket->is_string() &&
-      socket->get_ref<const std::string&>().find_first_of("/") != std::string::npos) {
+      socket->get_ref<const std::string&>().find_first_of('/') != std::string::npos) {
     say("control.socket", "is a path; expected the name of a file within the state folder");
   }
   return faults;
--- a/src/config/guard.cpp
+++ b/src/config/guard.cpp
@@ -61,7 +61,7 @@
 // Two spans' worth of blocks at most: the span before is what is looked at, its bound is kept here.
 void Guard::Forget(Micros now) {
   while (before_.size() > 1 && now - before_.front().from > rules_.before) before_.pop_front();
-  while (before_.size() > 2 * kBlocks) before_.pop_front();
+  while (before_.size() > std::size_t{2} * kBlocks) before_.pop_front();
 }
 
 void Guard::Begin(Micros now) {
--- a/src/faults/cluster.cpp
+++ b/src/faults/cluster.cpp
@@ -159,13 +159,14 @@
 }
 
 void Cluster::WatchLeases() {
-  for (int i = 0; i < options_.nodes; ++i)
+  for (int i = 0; i < options_.nodes; ++i) {
     watchers_.emplace_back([this, i] {
       while (!done_) {
         Look(i);
         std::this_thread::sleep_for(kLookEvery);
       }
     });
+  }
 }
 
 void Cluster::Look(int i) {
@@ -185,12 +186,14 @@
   const std::pair<const std::pair<std::uint64_t, int>, Span>* before = nullptr;
   for (const auto& one : spans_) {  // by epoch
     if (before != nullptr) {
-      if (one.first.first == before->first.first)
+      if (one.first.first == before->first.first) {
         broken += fmt::format("epoch {} of {} and {}\n", one.first.first, Name(before->second.node),
                               Name(one.second.node));
-      if (one.second.from < before->second.to && one.second.node != before->second.node)
+      }
+      if (one.second.from < before->second.to && one.second.node != before->second.node) {
         broken += fmt::format("{} held epoch {} before {} let {} go\n", Name(one.second.node),
                               one.first.first, Name(before->second.node), before->first.first);
+      }
     }
     before = &one;
   }
--- a/src/faults/process.cpp
+++ b/src/faults/process.cpp
@@ -1,6 +1,7 @@
 #include "faults/process.h"
 
 #include <fcntl.h>
+#include <fmt/format.h>
 #include <signal.h>
 #include <spawn.h>
 #include <sys/resource.h>
@@ -23,7 +24,7 @@
     const std::string one = *own;
     if (!environment.contains(one.substr(0, one.find('=')))) settings.push_back(one);
   }
-  for (const auto& [name, value] : environment) settings.push_back(name + "=" + value);
+  for (const auto& [name, value] : environment) settings.push_back(fmt::format("{}={}", name, value));
   std::vector<char*> argv, envp;
   for (std::string& word : words) argv.push_back(word.data());
   for (std::string& setting : settings) envp.push_back(setting.data());
@@ -69,7 +70,7 @@
   return status_;
 }
 
-void Process::LimitFiles(unsigned long long bytes) const {
+void Process::LimitFiles(std::uint64_t bytes) const {
   const rlimit limit{bytes, bytes};
   prlimit(pid_, RLIMIT_FSIZE, &limit, nullptr);
 }
--- a/src/faults/process.h
+++ b/src/faults/process.h
@@ -5,6 +5,7 @@
 #include <sys/types.h>
 
 #include <chrono>
+#include <cstdint>
 #include <map>
 #include <optional>
 #include <string>
@@ -25,7 +26,7 @@
   void Signal(int number) const;
   // How it ended, within the time: its exit status, or 128 and the signal.
   std::optional<int> Ended(std::chrono::milliseconds within);
-  void LimitFiles(unsigned long long bytes) const;  // no file may grow past this: a full disk
+  void LimitFiles(std::uint64_t bytes) const;  // no file may grow past this: a full disk
 
  private:
   pid_t pid_ = -1;
--- a/src/faults/relay.cpp
+++ b/src/faults/relay.cpp
@@ -146,8 +146,8 @@
   stream->from = pair.from, stream->to = pair.to, stream->near = near;
   stream->far = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC | SOCK_NONBLOCK, 0);
   const sockaddr_in to = addresses_[static_cast<std::size_t>(pair.to)];
-  connect(stream->far, reinterpret_cast<const sockaddr*>(&to),
-          sizeof to);  // a refusal shows in the first read
+  // A refusal shows in the first read.
+  static_cast<void>(connect(stream->far, reinterpret_cast<const sockaddr*>(&to), sizeof to));
   streams_.push_back(std::move(stream));
 }
 
@@ -191,7 +191,7 @@
     if (!late_.empty()) {
       const auto left =
           std::chrono::duration_cast<std::chrono::milliseconds>(late_.top().at - Clock::now()).count();
-      wait = static_cast<int>(std::clamp<long long>(left, 0, kMostWaitMs));
+      wait = static_cast<int>(std::clamp<std::int64_t>(left, 0, kMostWaitMs));
     }
     poll(waits.data(), waits.size(), wait);
     for (const auto& pair : pairs_) {
--- a/src/fleet/endpoint.cpp
+++ b/src/fleet/endpoint.cpp
@@ -125,12 +125,14 @@
     handle->data = nullptr;
     uv_close(handle, closed);
   };
-  if (udp_ != nullptr)
+  if (udp_ != nullptr) {
     close(reinterpret_cast<uv_handle_t*>(udp_),
           [](uv_handle_t* h) { delete reinterpret_cast<uv_udp_t*>(h); });
-  if (tcp_ != nullptr)
+  }
+  if (tcp_ != nullptr) {
     close(reinterpret_cast<uv_handle_t*>(tcp_),
           [](uv_handle_t* h) { delete reinterpret_cast<uv_tcp_t*>(h); });
+  }
 }
 
 std::string Endpoint::Listen(const std::string& address) {
--- a/src/fleet/notes.cpp
+++ b/src/fleet/notes.cpp
@@ -33,9 +33,10 @@
   }
   if (after.superseded && !before.superseded)
     notes.push_back({Kind::kTrouble, "a later process has this one's name; it claims nothing more", "", 0});
-  if (after.files_differ && !before.files_differ)
+  if (after.files_differ && !before.files_differ) {
     notes.push_back(
         {Kind::kTrouble, "a member's file names other voters; no lease is given until they agree", "", 0});
+  }
   return notes;
 }
 
--- a/src/net/admin_server.cpp
+++ b/src/net/admin_server.cpp
@@ -89,7 +89,7 @@
     http_parser_execute(&parser_, &Callbacks(), bytes.data(), bytes.size());
     if (whole_) {
       const std::string_view method = http_method_str(static_cast<http_method>(parser_.method));
-      const std::string_view path = std::string_view(url_).substr(0, url_.find('?'));
+      const std::string_view path = std::string_view{url_}.substr(0, url_.find('?'));
       return Answer(server_.handler_.OnAdmin(method, path));
     }
     const auto error = static_cast<http_errno>(parser_.http_errno);
--- a/src/node/config_fleet.cpp
+++ b/src/node/config_fleet.cpp
@@ -47,12 +47,14 @@
     const std::string zone = TextAt(e.merged, "operator.sites[].zone", i, "");
     if (!named.insert(name).second)
       say(fmt::format("sites[{}].name", i), fmt::format("\"{}\" is named twice", name));
-    if (!of_peers.contains(name))
+    if (!of_peers.contains(name)) {
       say(fmt::format("sites[{}].name", i),
           fmt::format("\"{}\"; expected the site of one of [[peers]]", name));
-    if (!zones.contains(zone))
+    }
+    if (!zones.contains(zone)) {
       say(fmt::format("sites[{}].zone", i),
           fmt::format("\"{}\"; expected the name of one of [[zones]]", zone));
+    }
   }
 }
 
@@ -89,10 +91,11 @@
   const double timeout = number("operator.fleet.probe_timeout");
   if (timeout >= number("operator.fleet.probe_every"))
     say("fleet.probe_timeout", "is no shorter than fleet.probe_every: others could not be asked in time");
-  if (number("operator.fleet.lease") < kLeastLeaseTimeouts * timeout)
+  if (number("operator.fleet.lease") < kLeastLeaseTimeouts * timeout) {
     say("fleet.lease",
         fmt::format("is shorter than {} x fleet.probe_timeout: no lease could be renewed in time",
                     kLeastLeaseTimeouts));
+  }
 }
 
 void ReadFleet(const json& whole, FleetConfig& fleet) {
@@ -108,9 +111,10 @@
   fleet.sites.agree = number("operator.fleet.site_agree");
   fleet.sites.hold = time("operator.fleet.site_hold");
   fleet.sites.most = std::max(fleet.sites.hold, time("operator.fleet.site_hold_most"));
-  for (std::size_t i = 0; i < Tables(whole, "operator.sites"); ++i)
+  for (std::size_t i = 0; i < Tables(whole, "operator.sites"); ++i) {
     fleet.zones[TextAt(whole, "operator.sites[].name", i, "")] =
         TextAt(whole, "operator.sites[].zone", i, "");
+  }
   for (std::size_t i = 0; i < Tables(whole, "operator.peers"); ++i) {
     fleet.peers.push_back({TextAt(whole, "operator.peers[].name", i, ""),
                            TextAt(whole, "operator.peers[].site", i, "main"),
--- a/src/node/fleet_link.cpp
+++ b/src/node/fleet_link.cpp
@@ -85,9 +85,10 @@
     if (clock < lease.until)
       leases[resource] = {{"epoch", lease.epoch}, {"left_ms", (lease.until - clock).count() / 1000}};
   }
-  for (const auto& [key, fact] : now.facts)
+  for (const auto& [key, fact] : now.facts) {
     facts[key] = {
         {"value", fact.value}, {"epoch", fact.epoch}, {"version", fact.version}, {"owner", fact.owner}};
+  }
   const fleet::Counters& counters = agent_.counters();
   return {{"standing", fleet::NameOf(now.standing)},
           {"present", now.present},
--- a/src/node/message_rules.cpp
+++ b/src/node/message_rules.cpp
@@ -68,7 +68,7 @@
 
 void MessageRules::TakeOver(Micros now) {
   RuleHistory::Spans spans;
-  if (Load(spans) == Found::kHistory) history_.Merge(std::move(spans), now);
+  if (Load(spans) == Found::kHistory) history_.Merge(spans, now);
   saved_ = false;
 }
 
--- a/src/state/reducer.cpp
+++ b/src/state/reducer.cpp
@@ -183,8 +183,8 @@
     for (Serial serial : state_.fresh) {
       Owed& owed = state_.owed.at(serial);
       AppendRecord(bytes, owed.taken);
-      replies.emplace_back(
-          Reply{*owed.unanswered, Answer::kTaken, Micros(0), owed.taken.id, owed.taken.message_class});
+      replies.emplace_back(Reply{*owed.unanswered, Answer::kTaken, Micros(0), owed.taken.id,
+                                 owed.taken.message_class, Refusal::kNone, std::nullopt});
     }
     auto& after_write = state_.after_write;
     after_write.insert(after_write.begin(), std::make_move_iterator(replies.begin()),
