--- /dev/null
+++ b/src/config/document_checks.cpp
@@ -0,0 +1,76 @@
+// What a document says that can't hold together, though each value is good by itself.
+#include <fmt/format.h>
+
+#include <set>
+#include <utility>
+
+#include "config/document.h"
+#include "config/schema.h"
+
+namespace indigosaddle::config {
+
+using nlohmann::json;
+
+std::vector<Fault> Contradictions(const json& told, const std::string& file,
+                                  const std::map<std::string, Place>& places) {
+  std::vector<Fault> faults;
+  const auto say = [&](const std::string& path, std::string what) {
+    const auto it = places.find(path);
+    faults.push_back({file, it == places.end() ? Place{} : it->second, path, std::move(what)});
+  };
+  const auto number = [&](const char* at, std::size_t index, double absent) {
+    const json* value = At(told, at, index);
+    return value != nullptr && value->is_number() ? value->get<double>() : absent;
+  };
+  const auto names = [&](const char* list, const char* name, const char* path) {
+    const json* all = At(told, list, 0);
+    std::set<json> seen;
+    for (std::size_t i = 0; all != nullptr && all->is_array() && i < all->size(); ++i) {
+      const json* one = At(told, name, i);
+      if (one != nullptr && !seen.insert(*one).second) {
+        say(fmt::format("{}[{}].name", path, i), fmt::format("{} is named twice", one->dump()));
+      }
+    }
+    return all != nullptr && all->is_array() ? all->size() : 0;
+  };
+  const std::size_t classes = names("settings.classes", "settings.classes[].name", "classes");
+  names("settings.orgs", "settings.orgs[].name", "tenants");
+  names("settings.machineTypes", "settings.machineTypes[]", "kinds");
+  names("settings.zones", "settings.zones[]", "zones");
+  for (std::size_t i = 0; i < classes; ++i) {
+    const auto at = [&](const char* name) { return fmt::format("classes[{}].{}", i, name); };
+    const double aim = number("settings.classes[].aim", i, 0),
+                 deadline = number("settings.classes[].deadline", i, 0);
+    if (deadline > 0 && aim > deadline) say(at("aim"), "is after the deadline of the same class");
+    const json* effect = At(told, "settings.classes[].effect", i);
+    const double ttl = number("settings.classes[].keyTtl", i, 0);
+    if (effect != nullptr && *effect == "idempotency_key" && ttl <= 0) {
+      say(at("effect"), "is \"keyed\" with no key_ttl: no repeat could ever be sent");
+    }
+    if (effect != nullptr && *effect != "idempotency_key" && ttl > 0) {
+      say(at("key_ttl"), "is given where effect is not \"keyed\"");
+    }
+  }
+  const json* advice = At(told, "settings.caps.retryAfter", 0);
+  if (advice != nullptr && *advice == false && number("settings.caps.maxRetryAfter", 0, 0) > 0) {
+    say("delivery.max_retry_after", "is given where retry_advice is false: no client would hear it");
+  }
+  const double slots = number("settings.familyInfo.callSlots", 0, 0),
+               room = number("settings.caps.maxOpen", 0, 0);
+  if (slots > 0 && room > 0 && room < slots) {
+    say("delivery.holding_room",
+        fmt::format("{:.0f} is less than the call_slots, {:.0f}, that it has to fill", room, slots));
+  }
+  if (number("settings.guarantees.fall", 0, 0) > number("settings.guarantees.cold", 0, 0) &&
+      number("settings.guarantees.cold", 0, 0) > 0) {
+    say("return.fall", "is longer than the time to warm up, return.cold");
+  }
+  const json* socket = At(told, "operator.control.socket", 0);
+  if (socket != nullptr && socket->is_string() &&
+      socket->get_ref<const std::string&>().find_first_of('/') != std::string::npos) {
+    say("control.socket", "is a path; expected the name of a file within the state folder");
+  }
+  return faults;
+}
+
+}  // namespace indigosaddle::config
--- a/src/config/transaction.cpp
+++ b/src/config/transaction.cpp
@@ -9,29 +9,8 @@
 constexpr int kMostDeaths = 1;  // of the process in one generation's trial; one may be chance
 constexpr Micros kSaveAgain = std::chrono::seconds(5);
 
-std::string Numbered(std::uint64_t number) { return "generation " + std::to_string(number); }
-
 }  // namespace
 
-const Generation* History::Find(std::uint64_t number) const {
-  const auto it = std::find_if(generations.begin(), generations.end(),
-                               [&](const Generation& g) { return g.number == number; });
-  return it == generations.end() ? nullptr : &*it;
-}
-
-Generation* History::Find(std::uint64_t number) {
-  return const_cast<Generation*>(std::as_const(*this).Find(number));
-}
-
-std::string_view NameOf(Result result) {
-  switch (result) {
-    case Result::kOnTrial: return "on trial";
-    case Result::kKept: return "kept";
-    case Result::kUndone: return "undone";
-  }
-  return "?";
-}
-
 void Transactions::On(const TransactionEvent& event, TransactionEffects& effects) {
   std::visit([&](const auto& e) { Handle(e, effects); }, event);
 }
@@ -240,39 +219,6 @@
   }
 }
 
-void Transactions::Handle(const RollbackAsked& e, TransactionEffects& effects) {
-  now_ = e.now;
-  Proposal proposal;
-  proposal.ticket = e.ticket;
-  proposal.author = e.author;
-  if (phase_ == Phase::kTrial && kept_why_.empty() && (e.number == 0 || e.number == history_.kept)) {
-    const std::uint64_t number = history_.on_trial;
-    Undo("asked for by " + e.author + (e.reason.empty() ? "" : ": " + e.reason), effects);
-    if (e.ticket != 0)
-      effects.emplace_back(Answer{e.ticket, true, history_.kept, Numbered(number) + " is undone"});
-    return;
-  }
-  if (phase_ != Phase::kIdle) {
-    return Refuse(proposal, Numbered(history_.on_trial) + " is on trial: undo it first", effects);
-  }
-  const Generation* target = nullptr;
-  for (const Generation& generation : history_.generations) {
-    const bool wanted = e.number == 0
-                            ? generation.result == Result::kKept && generation.number < history_.kept
-                            : generation.number == e.number;
-    if (wanted) target = &generation;
-  }
-  if (target == nullptr || target->document.empty()) {
-    return Refuse(proposal,
-                  e.number == 0 ? "no generation before is kept in the state folder"
-                                : Numbered(e.number) + " is not kept in the state folder",
-                  effects);
-  }
-  proposal.reason = "back to " + Numbered(target->number) + (e.reason.empty() ? "" : ": " + e.reason);
-  proposal.document = target->document;
-  effects.emplace_back(Check{std::move(proposal)});
-}
-
 void Transactions::Handle(const StopAsked&, TransactionEffects& effects) {
   if (std::exchange(stopping_, true)) return;
   for (const Proposal& proposal : std::exchange(queue_, {}))
@@ -281,31 +227,6 @@
   if (!history_.generations.empty()) effects.emplace_back(Save{});
 }
 
-History StartWith(History saved, const std::string& file, const std::string& file_hash, bool usable,
-                  Micros now) {
-  const bool seen = saved.kept != 0 && saved.seen_file == file_hash;
-  if (!usable || seen) return saved;
-  for (Generation& old : saved.generations) {
-    if (old.result != Result::kOnTrial) continue;
-    old.result = Result::kUndone;
-    old.why = "superseded by another file at the start";
-  }
-  Generation first;
-  first.number = saved.generations.empty() ? 1 : saved.generations.back().number + 1;
-  first.author = "start";
-  first.reason = "the file at the start";
-  first.document = file;
-  first.at = now;
-  first.result = Result::kKept;
-  first.why = "a start with another file is taken as it is";
-  saved.kept = first.number;
-  saved.on_trial = 0;
-  saved.seen_file = file_hash;
-  saved.generations.push_back(std::move(first));
-  while (saved.generations.size() > kMostListed) saved.generations.pop_front();
-  return saved;
-}
-
 void Transactions::Next(TransactionEffects& effects) {
   if (queue_.empty()) return;
   Proposal proposal = std::move(queue_.front());
--- a/src/config/transaction.h
+++ b/src/config/transaction.h
@@ -33,6 +33,8 @@
   int deaths = 0;   // of the process, while it was on trial
 };
 
+std::string Numbered(std::uint64_t number);  // "generation 7"
+
 // What is saved. The documents of old generations may be dropped to stay within a bound of bytes.
 struct History {
   std::deque<Generation> generations;    // oldest first, at most kMostListed
--- /dev/null
+++ b/src/state/effects.h
@@ -0,0 +1,120 @@
+// What the reducer asks for, carried out by src/node/node_turn.cpp. A part of src/state/reducer.h.
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <variant>
+#include <vector>
+
+#include "brain.h"
+#include "state/ending.h"
+#include "state/events.h"
+#include "state/journal.h"
+
+namespace indigosaddle::state {
+
+struct TellMessage {
+  Message message;
+};
+struct TellWithdrawn {
+  MessageId id = 0;
+};
+struct TellAnswerTold {
+  MessageId id = 0;
+};
+struct TellOutcome {
+  Outcome outcome;
+};
+struct TellList {
+  std::vector<Endpoint> entries;
+  bool whole = false;
+};
+struct TellListLost {
+  Micros outdated_from{0};
+};
+struct TellStop {
+  Micros at{0};
+};
+struct TellZoneUnsure {  // agreed by the fleet; passes the reducer by, since nothing kept here changes with
+                         // it
+  int zone = -1;
+};
+struct TellSettings {
+  Settings settings;
+};
+struct AppendJournal {  // answered by JournalWritten
+  std::string bytes;
+};
+struct RewriteJournal {  // the same, in place of all that the journal holds
+  std::string bytes;
+};
+enum class Answer : std::uint8_t { kTaken, kBusy, kFailed };
+enum class Refusal : std::uint8_t {
+  kNone,
+  kSameId,
+  kNoRoom,
+  kNotWritten,
+  kPolicy
+};  // why it was not taken on
+std::string_view NameOf(Refusal refusal);
+struct Reply {
+  ClientRef client;
+  Answer answer = Answer::kFailed;
+  Micros not_before{0};           // with kBusy
+  std::string id, message_class;  // of the message answered, for the figures
+  Refusal refusal = Refusal::kNone;
+  std::optional<GiveUpCause> cause;  // with Refusal::kPolicy
+};
+struct StartCall {  // answered by CallEnded
+  Serial serial = 0;
+  EndpointId endpoint;
+  std::string dial;
+  std::string id, idempotency_key, body;
+  Micros timeout{0};
+};
+struct Notice {
+  Serial serial = 0;
+  std::string id;
+  End end = End::kFailed;
+  Micros not_before{0};
+};
+struct PostNotices {  // answered by NoticesTaken, however long that takes
+  std::vector<Notice> notices;
+};
+struct ArmTimer {
+  Micros at{0};
+};
+struct RenewWatch {};
+struct CloseIdle {
+  EndpointId endpoint;
+};
+struct Note {  // for the log
+  std::string text;
+};
+enum class Over : std::uint8_t { kDelivered, kReturned, kFailed, kWithdrawn };
+struct MessageResumed {  // for the log
+  std::string id;
+  std::uint64_t destination = 0;
+  RepeatRules rules;
+  Past past;
+  Micros give_up_at{0};
+};
+struct MessageOver {  // what became of a message that was taken on
+  std::string id, message_class, tenant;
+  std::uint64_t destination = 0;
+  Over over = Over::kDelivered;
+  int attempts = 0;
+  RepeatRules rules;
+  Micros taken_at{0};                // zero: before a restart
+  std::optional<GiveUpCause> cause;  // nothing: delivered or withdrawn
+};
+using Effect =
+    std::variant<TellMessage, TellWithdrawn, TellAnswerTold, TellOutcome, TellList, TellListLost, TellStop,
+                 TellZoneUnsure, TellSettings, AppendJournal, RewriteJournal, Reply, StartCall, PostNotices,
+                 ArmTimer, RenewWatch, CloseIdle, Note, MessageResumed, MessageOver>;
+using Effects = std::vector<Effect>;
+
+}  // namespace indigosaddle::state
--- /dev/null
+++ b/src/state/events.h
@@ -0,0 +1,102 @@
+// What the reducer hears. A part of src/state/reducer.h.
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <variant>
+#include <vector>
+
+#include "brain.h"
+#include "state/ending.h"
+#include "state/journal.h"
+
+namespace indigosaddle::state {
+
+// One command of one client's connection, whose reply is still owed.
+struct ClientRef {
+  std::uint64_t connection = 0, command = 0;
+  friend bool operator==(const ClientRef&, const ClientRef&) = default;
+};
+
+// An entry of discovery's list, as the module and the calls need it.
+struct Listed {
+  Endpoint endpoint;
+  std::string dial;
+};
+
+struct Recovered {  // first: what the journal folder held, and from where numbers go on
+  std::vector<Record> records;
+  Micros now{0};
+  Serial numbered_past = 0;  // a successor numbers its messages past those of the process that it replaces
+};
+struct ClientMessage {
+  ClientRef client;
+  Micros at{0};   // when it was read
+  Taken message;  // its serial is given by the reducer
+  int message_class = 0, tenant = 0;
+};
+struct ClientGone {
+  std::uint64_t connection = 0;
+};
+struct ListNews {
+  std::vector<Listed> entries;
+  bool whole = false;
+};
+struct ListLost {
+  Micros outdated_from{0};  // unless a list comes before; Micros::max(): not by this
+};
+struct CallEnded {
+  Serial serial = 0;
+  Ending ending = Ending::kNotStarted;
+  Micros latency{0}, wait{0};
+  LoadReport load;
+  Micros at{0};
+};
+struct NoticesTaken {  // answered by the platform: nothing more is owed for these
+  std::vector<Serial> serials;
+};
+struct StopAsked {
+  Micros ends_at{0};
+};
+struct SettingsChanged {  // numbers of classes and tenants stay, names may have come or gone
+  Settings settings;
+  std::size_t most_open = 0;
+  std::map<std::string, int> classes, tenants;
+};
+struct CallBegins {  // its connection is up; its first byte leaves once the record is written
+  Serial serial = 0;
+};
+struct WantsSend {  // these six are the module's decisions
+  Serial serial = 0;
+  EndpointId endpoint;
+  Micros timeout{0}, now{0};
+  bool connected = false;  // an idle connection is there, so that it begins in this turn
+};
+struct WantsRefusal {
+  Serial serial = 0;
+  Micros not_before{0};
+  GiveUpCause cause = GiveUpCause::kOutOfTime;
+};
+struct WantsFailure {
+  Serial serial = 0;
+  GiveUpCause cause = GiveUpCause::kOutOfTime;
+};
+struct WantsTimer {
+  Micros at{0};
+};
+struct WantsWatch {};
+struct WantsIdleClosed {
+  EndpointId endpoint;
+};
+struct TurnEnded {};
+struct JournalWritten {
+  bool ok = false;
+};
+using Event = std::variant<Recovered, ClientMessage, ClientGone, ListNews, ListLost, CallBegins, CallEnded,
+                           NoticesTaken, StopAsked, SettingsChanged, WantsSend, WantsRefusal, WantsFailure,
+                           WantsTimer, WantsWatch, WantsIdleClosed, TurnEnded, JournalWritten>;
+
+}  // namespace indigosaddle::state
--- /dev/null
+++ b/tests/brain_resumed_test.cpp
@@ -0,0 +1,157 @@
+// What a restart resumes, what a planned stop holds back, and calls that have not begun yet.
+#include <gtest/gtest.h>
+
+#include "test_node.h"
+
+namespace indigosaddle::testing {
+namespace {
+
+// ---- Rule 1: one final answer, in time, and nothing sent after
+// ----------------------------------------------
+
+Message Resumed(MessageId id, Past past, const std::string& key = "") {
+  Message message;
+  message.id = id;
+  message.destination = 1;
+  message.key = key;
+  message.give_up_at = seconds(100);
+  message.past = past;
+  return message;
+}
+
+TEST(Resumed, AnUnsafeMessageThatMayHaveRunIsFailedAndOneThatNeverRanIsSent) {
+  Settings settings = BaseSettings();
+  settings.classes[0].effect = Effect::kUnsafe;
+  settings.classes[0].deadline = seconds(100);
+  TestNode node(settings);
+  node.Turn(seconds(10), [&] {
+    node.List({TestNode::At(1, "a")});
+    node.Give(Resumed(1, {1, true, seconds(9), 0}));
+    node.Give(Resumed(2, {3, false, Micros(0), 0}));
+  });
+  EXPECT_TRUE(node.Failed(1));
+  EXPECT_FALSE(node.Refused(1));
+  EXPECT_EQ(node.CountSends(1), 0);
+  EXPECT_EQ(node.CountSends(2), 1);
+}
+
+TEST(Resumed, AKeyedMessageGoesAgainOnlyInItsKeysLife) {
+  TestNode node(BaseSettings());
+  node.Turn(seconds(30), [&] {
+    node.List({TestNode::At(1, "a")});
+    node.Give(Resumed(1, {1, true, seconds(29), 0}));
+    node.Give(Resumed(2, {1, true, seconds(5), 0}));  // 25 s ago, remembered for 20 s
+  });
+  EXPECT_EQ(node.CountSends(1), 1);
+  EXPECT_EQ(node.CountSends(2), 0);
+  EXPECT_EQ(node.answers[2], 1);
+}
+
+TEST(Resumed, AttemptsBeforeTheRestartCount) {
+  Settings settings = BaseSettings();
+  settings.max_attempts = 4;
+  TestNode node(settings);
+  node.Turn(seconds(10), [&] {
+    node.List({TestNode::At(1, "a")});
+    node.Give(Resumed(1, {4, false, Micros(0), 0}));
+  });
+  EXPECT_EQ(node.CountSends(1), 0);
+  EXPECT_TRUE(node.Refused(1));
+}
+
+TEST(Resumed, AKeysLaterMessagesRestAfterOneThatMayStillRun) {
+  Settings settings = BaseSettings();
+  settings.classes[0].sequential = true;
+  settings.turn_gap = milliseconds(300);
+  TestNode node(settings);
+  node.Turn(seconds(10), [&] {
+    node.List({TestNode::At(1, "a")});
+    node.Give(Resumed(1, {1, true, seconds(9), 0}, "k"));
+    node.Give(Resumed(2, {}, "k"));
+  });
+  EXPECT_EQ(node.CountSends(1), 1);  // has the turn, and may be tried again
+  node.Turn(seconds(10) + milliseconds(100), [&] { node.Settle(1, Result::kOk); });
+  EXPECT_EQ(node.CountSends(2), 0);
+  // What was tried before the restart makes its destination unsure, so that the next call waits for its
+  // allowance.
+  node.Run(seconds(10) + milliseconds(301), seconds(16), [](const Sent&) { return Reply{}; });
+  EXPECT_EQ(node.CountSends(2), 1);
+}
+
+// A successor has taken later messages of a key before it is told what the process before it left.
+TEST(Resumed, EarlierMessagesOfAKeyGoFirstAndNoneBesideOneThatIsOut) {
+  Settings settings = BaseSettings();
+  settings.classes[0].sequential = true;
+  TestNode node(settings);
+  const auto taken = [&](MessageId id, const std::string& key) {
+    Message message = Resumed(id, {}, key);
+    message.place = id;
+    node.Give(message);
+  };
+  node.Turn(seconds(10), [&] {
+    node.List({TestNode::At(1, "a")});
+    taken(100, "out");
+  });
+  ASSERT_EQ(node.CountSends(100), 1);
+  node.brain().OnStop(seconds(10));
+  node.Turn(seconds(10) + milliseconds(1), [&] { taken(101, "held"), taken(102, "held"); });
+  EXPECT_EQ(node.CountSends(101), 0);
+  node.brain().OnStop(Micros::max());
+  node.Turn(seconds(10) + milliseconds(20), [&] { taken(1, "held"), taken(2, "held"), taken(3, "out"); });
+  EXPECT_EQ(node.CountSends(1), 1);
+  EXPECT_EQ(node.CountSends(2) + node.CountSends(101) + node.CountSends(3), 0);
+  node.Turn(seconds(10) + milliseconds(40),
+            [&] { node.Settle(1, Result::kOk), node.Settle(100, Result::kOk); });
+  EXPECT_EQ(node.CountSends(2), 1);
+  EXPECT_EQ(node.CountSends(3), 1);
+  node.Turn(seconds(10) + milliseconds(60), [&] { node.Settle(2, Result::kOk); });
+  EXPECT_EQ(node.CountSends(101), 1);
+  EXPECT_EQ(node.CountSends(102), 0);
+}
+
+TEST(Stop, OnlyWhatShouldEndByThenIsBegun) {
+  TestNode node(BaseSettings());
+  node.Run(
+      Micros(0), seconds(2),
+      [](const Sent&) {
+        return Reply{Result::kOk, milliseconds(100)};
+      },
+      [&](Micros now) {
+        if (now == Micros(0)) node.List({TestNode::At(1, "a"), TestNode::At(2, "b")});
+        if (now.count() % 100000 == 0) node.Take(static_cast<MessageId>(now.count() / 100000 + 1), 1);
+      });
+  node.Turn(seconds(2), [&] {
+    node.brain().OnStop(seconds(3));
+    node.Take(1000001, 1);  // known to take about 100 ms
+    node.Take(1000002, 2);  // never seen: could take its whole time-out
+  });
+  EXPECT_EQ(node.CountSends(1000001), 1);
+  EXPECT_EQ(node.CountSends(1000002), 0);
+  node.Turn(seconds(3) - milliseconds(50), [&] { node.Take(1000003, 1); });
+  EXPECT_EQ(node.CountSends(1000003), 0);
+  EXPECT_EQ(node.answers[1000003], 0);  // kept: it is resumed after the stop
+}
+
+TEST(StillStart, WhatWasToldMeanwhileBindsACallThatHasNotBegun) {
+  TestNode node(BaseSettings());
+  node.Turn(seconds(1), [&] {
+    node.List({TestNode::At(1, "a"), TestNode::At(2, "b"), TestNode::At(3, "c")});
+    for (MessageId id : {1, 2, 3}) node.Take(id, id);
+    node.Take(4, 2);
+  });
+  ASSERT_EQ(node.sends.size(), 4u);
+  for (MessageId id : {1, 2, 3, 4}) EXPECT_TRUE(node.brain().MayStillStart(id, seconds(1)));
+  EXPECT_FALSE(node.brain().MayStillStart(9, seconds(1)));
+  node.Turn(seconds(1) + milliseconds(10), [&] {
+    node.List({TestNode::At(1, "a", 0, 0, EndpointState::kDraining)}, false);
+    node.Settle(4, Reply{Result::kFull, milliseconds(10), milliseconds(500)}, false);
+    node.brain().OnWithdrawn(3);
+  });
+  EXPECT_FALSE(node.brain().MayStillStart(1, seconds(1) + milliseconds(20)));  // rule 3
+  EXPECT_FALSE(node.brain().MayStillStart(2, seconds(1) + milliseconds(20)));  // rule 6
+  EXPECT_TRUE(node.brain().MayStillStart(2, seconds(2)));
+  EXPECT_FALSE(node.brain().MayStillStart(3, seconds(1) + milliseconds(20)));  // rule 1
+}
+
+}  // namespace
+}  // namespace indigosaddle::testing
--- /dev/null
+++ b/tests/brain_rules_recovery_test.cpp
@@ -0,0 +1,144 @@
+// Rules 3 and 4 at the module alone: drains, and destinations that return.
+#include <gtest/gtest.h>
+
+#include "test_node.h"
+
+namespace indigosaddle::testing {
+namespace {
+
+constexpr Micros kStart = seconds(100);
+
+// ---- Rule 1: one final answer, in time, and nothing sent after
+// ----------------------------------------------
+
+TEST(Drain, NothingNewToADrainingGoneOrUnlistedEndpoint) {
+  TestNode node(BaseSettings());
+  node.Turn(kStart, [&] {
+    node.List({TestNode::At(7, "a"), TestNode::At(8, "b"), TestNode::At(9, "c"), TestNode::At(10, "d")});
+  });
+  node.Turn(kStart + milliseconds(10), [&] {
+    node.List({TestNode::At(7, "a", 0, 0, EndpointState::kDraining),
+               TestNode::At(8, "b", 0, 0, EndpointState::kGone)},
+              false);
+    node.Take(1, 7);
+    node.Take(2, 8);
+  });
+  node.Turn(kStart + milliseconds(20), [&] {
+    node.List({TestNode::At(10, "d")});  // the whole list: c is gone
+    node.Take(3, 9);
+    node.Take(4, 10);
+  });
+  node.Run(kStart + milliseconds(30), kStart + seconds(2), [](const Sent&) { return Reply{}; });
+  EXPECT_EQ(node.sends.size(), 1U);
+  EXPECT_EQ(node.CountSends(MessageId{4}), 1);
+}
+
+TEST(Drain, WatchIsAskedForAtStartAndAgainAfterEachFailureInsideTheLimit) {
+  Settings s = BaseSettings();
+  s.discovery = Discovery::kOnRequest;
+  TestNode node(s);
+  node.Turn(kStart, [&] { node.List({TestNode::At(7, "a")}); });
+  ASSERT_EQ(node.watches.size(), 1U);
+  Micros now = kStart;
+  for (int i = 0; i < 12; ++i) {  // the list is out of reach
+    now += milliseconds(100);
+    node.Turn(now, [&] { node.brain().OnListFailed(); });
+    const std::size_t asked = node.watches.size();
+    const Micros failed_at = now;
+    while (node.watches.size() == asked && now < failed_at + seconds(8)) node.Turn(now += milliseconds(50));
+    ASSERT_EQ(node.watches.size(), asked + 1) << "not asked again within must_ask_in";
+  }
+}
+
+TEST(Drain, PushedListsAreNotAskedFor) {
+  TestNode node(BaseSettings());
+  node.Turn(kStart, [&] { node.brain().OnListFailed(); });
+  node.Turn(kStart + seconds(20));
+  EXPECT_TRUE(node.watches.empty());
+}
+
+// ---- Rule 4: a returning destination is not pushed over
+// -----------------------------------------------------
+
+struct ReturnCase {
+  int kind;      // 0: shared, 1: apart
+  Reply outage;  // how calls end while it lasts
+  bool hangs;    // they run into their time-out instead
+};
+
+class ReturnTest : public ::testing::TestWithParam<ReturnCase> {};
+
+// A destination that served 4 a second is out for 9 s while messages pile up. After its return, what arrives
+// in any fall span must stay under the overload factor times what this sender's part of it can do.
+TEST_P(ReturnTest, LoadAfterAnOutageStaysInsideTheBudget) {
+  const ReturnCase& c = GetParam();
+  Settings s = BaseSettings();
+  s.kinds[1].per_call = 1;
+  s.max_open = 1000;
+  s.call_slots = 20;
+  TestNode node(s);
+  const Micros down = kStart + seconds(10), back = kStart + seconds(19), end = kStart + seconds(32);
+  MessageId id = 0;
+  node.Turn(kStart, [&] { node.List({TestNode::At(7, "a", 0, c.kind)}); });
+  node.Run(
+      kStart, end,
+      [&](const Sent& sent) -> std::optional<Reply> {
+        if (sent.at < down || sent.at >= back) return Reply{};
+        if (c.hangs) return std::nullopt;
+        return c.outage;
+      },
+      [&](Micros now) {
+        if ((now - kStart) % milliseconds(250) == Micros(0)) node.Take(++id, 7, seconds(20));
+      });
+  ASSERT_GE(node.CountSends(back, end), 10);  // it is served again
+  Micros first_ok = end;
+  for (const Sent& sent : node.sends) {
+    if (sent.at >= back) first_ok = std::min(first_ok, sent.at);
+  }
+  // Later the rate served in the meantime is proof of more.
+  for (Micros t = back; t + s.fall < first_ok + seconds(5); t += milliseconds(50)) {
+    const double since = std::chrono::duration<double>(std::max(Micros(0), t + s.fall - first_ok)).count();
+    const double present = std::min(1.0, s.cold_from + (1 - s.cold_from) * since / 10);
+    const double served = 6;  // 4 a second in the mean, with what chance and the piled-up ones add
+    const double allowed = s.overload_factor * present * served * 2;
+    EXPECT_LE(node.CountSends(t, t + s.fall), allowed) << "span from " << (t - back).count() << " us after";
+  }
+  EXPECT_LE(node.CountSends(back, back + s.fall), 6) << "the first span takes a trickle";
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    EveryOutage, ReturnTest,
+    ::testing::Values(ReturnCase{0, {Result::kNoConnection, milliseconds(50)}, false},
+                      ReturnCase{0, {Result::kFull, milliseconds(50)}, false},
+                      ReturnCase{0, {Result::kError, milliseconds(50)}, false},
+                      ReturnCase{0, {Result::kReset, milliseconds(50)}, false}, ReturnCase{0, {}, true},
+                      ReturnCase{1, {Result::kNoConnection, milliseconds(50)}, false},
+                      ReturnCase{1, {Result::kFull, milliseconds(50), seconds(1)}, false},
+                      ReturnCase{1, {}, true}));
+
+TEST(Return, RoutesApartAreColdEachForItself) {
+  Settings s = BaseSettings();
+  s.kinds[1].per_call = 1;
+  s.call_slots = 40;
+  TestNode node(s);
+  MessageId id = 0;
+  const Micros back = kStart + seconds(16);
+  node.Turn(kStart, [&] { node.List({TestNode::At(7, "a", 0, 1), TestNode::At(7, "b", 0, 1)}); });
+  node.Run(
+      kStart, kStart + seconds(18),
+      [&](const Sent& sent) -> std::optional<Reply> {
+        const bool down = sent.endpoint == "a" && sent.at >= kStart + seconds(4) && sent.at < back;
+        return down ? Reply{Result::kNoConnection, milliseconds(20)} : Reply{};
+      },
+      [&](Micros now) {
+        if ((now - kStart) % milliseconds(100) == Micros(0)) node.Take(++id, 7);
+      });
+  EXPECT_GE(node.CountSends(back, back + seconds(2), "b"), 10);  // untouched by its neighbour's outage
+  EXPECT_LE(node.CountSends(back, back + seconds(2), "a"), 8);
+}
+
+// ---- Rule 5: order
+// ------------------------------------------------------------------------------------------
+
+}  // namespace
+}  // namespace indigosaddle::testing
