--- a/src/brain.h
+++ b/src/brain.h
@@ -105,8 +105,8 @@
   std::uint64_t destination = 0;
   std::uint64_t place = 0;  // in the order taken, of its key; equal: as told
   Past past{};
-  bool ended = false;  // before a restart; its answer is still on its way
-  RepeatRules rules;   // from its birth, whatever its class says by now
+  bool ended = false;   // before a restart; its answer is still on its way
+  RepeatRules rules{};  // from its birth, whatever its class says by now
 };
 
 // Garbled: it ran and was answered, but with what can't be read.
@@ -213,8 +213,8 @@
   virtual void OnTurnEnd() = 0;
   // Between turns: whether a call that was sent, but waits for its connection, may still begin.
   virtual bool MayStillStart(MessageId id, Micros now) = 0;
-  // By when the last byte of its call must have left, if it may start: receivers act on a call once they have it
-  // whole. Max: nothing binds it but its time-out.
+  // By when the last byte of its call must have left, if it may start: receivers act on a call once they have
+  // it whole. Max: nothing binds it but its time-out.
   virtual Micros LastByteBy(MessageId id) const = 0;
   virtual Footprint footprint() const = 0;
   virtual SlowStartFigures slow_start() const = 0;
--- a/src/state/effects.h
+++ b/src/state/effects.h
@@ -66,7 +66,7 @@
   Micros not_before{0};           // with kBusy
   std::string id, message_class;  // of the message answered, for the figures
   Refusal refusal = Refusal::kNone;
-  std::optional<GiveUpCause> cause;  // with Refusal::kPolicy
+  std::optional<GiveUpCause> cause{};  // with Refusal::kPolicy
 };
 struct StartCall {  // answered by CallEnded
   Serial serial = 0;
@@ -98,7 +98,7 @@
 struct MessageResumed {  // for the log
   std::string id;
   std::uint64_t destination = 0;
-  RepeatRules rules;
+  RepeatRules rules{};
   Past past;
   Micros give_up_at{0};
 };
@@ -107,9 +107,9 @@
   std::uint64_t destination = 0;
   Over over = Over::kDelivered;
   int attempts = 0;
-  RepeatRules rules;
-  Micros taken_at{0};                // zero: before a restart
-  std::optional<GiveUpCause> cause;  // nothing: delivered or withdrawn
+  RepeatRules rules{};
+  Micros taken_at{0};                  // zero: before a restart
+  std::optional<GiveUpCause> cause{};  // nothing: delivered or withdrawn
 };
 using Effect =
     std::variant<TellMessage, TellWithdrawn, TellAnswerTold, TellOutcome, TellList, TellListLost, TellStop,
--- a/src/state/reducer.h
+++ b/src/state/reducer.h
@@ -16,10 +16,11 @@
 
 namespace indigosaddle::state {
 
-struct Limits {                                        // what the settings and the machine allow
-  std::size_t most_open = 0;                           // messages held; 0: not limited
-  std::size_t journal_bytes = 0;                       // for the folder, with a rewrite in progress counted
-  std::map<std::string, int> classes, tenants, zones;  // numbers of the names in the settings
+struct Limits {                   // what the settings and the machine allow
+  std::size_t most_open = 0;      // messages held; 0: not limited
+  std::size_t journal_bytes = 0;  // for the folder, with a rewrite in progress counted
+  // Numbers of the names in the settings.
+  std::map<std::string, int> classes{}, tenants{}, zones{};
 };
 
 struct Owed {
