Logs and status tell which document of the platform is in force, and why one was turned down

New: config.starts_with, in_force (a hash) with config.read, and in status the counts of files taken and refused, the document in force and every fault of the last one refused. A refused platform's file also keeps the operator's file beside it from being proposed: nothing that was read together with an unusable file acts.

--- a/src/base/log_events.h
+++ b/src/base/log_events.h
@@ -177,9 +177,9 @@
   all(kServing, kStopping, kStopped, kReport, kWatch, kFolderUnusable, kListenFailed, kClockOrigin,
       kJournalFound, kJournalDamaged, kResumed, kJournalWritable, kKnownUnreadable, kListSkipped, kWatchLost,
       kWatchBack, kDiscoveryMoved, kNoticeUnreadable, kMessageEnded, kMessageDelivered, kMessageResumed,
-      kRequestRefused, kCallEnded, kCallDelivered, kRecovery, kClientEnded, kConfigServes, kConfigRefused,
-      kConfigOnTrial, kConfigKept, kConfigUndone, kConfigInterrupted, kConfigNeedsRestart, kConfigRead,
-      kClassRules, kRulesUnknown, kRulesUnsure, kConfigUnusable, kConfigSame, kConfigStoreFailed,
+      kRequestRefused, kCallEnded, kCallDelivered, kRecovery, kClientEnded, kConfigServes, kConfigStartsWith,
+      kConfigRefused, kConfigOnTrial, kConfigKept, kConfigUndone, kConfigInterrupted, kConfigNeedsRestart,
+      kConfigRead, kClassRules, kRulesUnknown, kRulesUnsure, kConfigUnusable, kConfigSame, kConfigStoreFailed,
       kControlOpen, kControlFailed, kControlRefused, kJournalShared, kJournalTakenOver, kQuiesced,
       kResumedWork, kFleetMember, kFleetStanding, kFleetLease, kFleetSite, kFleetSenders, kFleetTrouble,
       kLogHeldBack, kLogDropped);
--- a/src/base/log_events_config.h
+++ b/src/base/log_events_config.h
@@ -45,11 +45,18 @@
     kWarn,
     "The platform's file changes a value that holds until a restart; the old one goes on.",
     {{{"value", "its name"}}}};
-inline constexpr Event<kCount, kCount> kConfigRead{
+inline constexpr Event<kCount, kCount, kText> kConfigRead{
     "config.read",
     kInfo,
-    "SIGHUP: the configuration files were read again, and what may change is in force.",
-    {{{"taken", "files taken since the start"}, {"refused", "files turned down since the start"}}}};
+    "SIGHUP: the configuration files were read again; what may change of one that was taken is in force.",
+    {{{"taken", "files taken since the start"},
+      {"refused", "files turned down since the start"},
+      {"in_force", "the platform's document that is in force, by its hash; empty: none"}}}};
+inline constexpr Event<kText, kText> kConfigStartsWith{
+    "config.starts_with",
+    kInfo,
+    "The platform's document that this process starts with.",
+    {{{"in_force", "by its hash"}, {"from", "its file"}}}};
 inline constexpr Event<kText, kText, kText> kClassRules{
     "class.rules_changed",
     kInfo,
--- a/src/cli/status.cpp
+++ b/src/cli/status.cpp
@@ -28,6 +28,10 @@
     if (c.at("on_trial").get<bool>())
       fmt::print(" on trial for {:.1f} s more", c.at("trial_left_ms").get<double>() / 1000);
     fmt::print(", {} changes wait\n", number(c, "waiting"));
+    fmt::print("files at SIGHUP: {} taken, {} refused; platform's document in force: {}\n",
+               number(c, "taken"), number(c, "refused"), c.at("platform_document").get<std::string>());
+    if (const auto why = c.at("last_refusal").get<std::string>(); !why.empty())
+      fmt::print("last refused: {}\n", why);
     fmt::print(
         "messages: {} held, {} notices owed; {} taken, {} delivered, {} returned, {} failed, {} busy\n",
         number(m, "open"), number(m, "notices"), number(m, "taken"), number(m, "delivered"),
--- a/src/node/changes.cpp
+++ b/src/node/changes.cpp
@@ -42,6 +42,7 @@
 
 void Changes::Start() {
   if (!first_trouble_.empty()) log_.Write(base::kConfigUnusable, first_trouble_);
+  if (sources_.platform.given) log_.Write(base::kConfigStartsWith, DocumentInForce(), sources_.platform.name);
   KeepLastGood();
   if (store_ == nullptr) return;
   log_.Write(base::kConfigServes, first_history_.kept, sources_.operators.name);
@@ -58,7 +59,7 @@
 
 void Changes::Reload() {
   ReadFiles();
-  log_.Write(base::kConfigRead, reloads_, reload_errors_);
+  log_.Write(base::kConfigRead, reloads_, reload_errors_, DocumentInForce());
 }
 
 void Changes::ReadFiles() {
@@ -66,8 +67,7 @@
   try {
     next = ReadSources(EdgeEnvironment(), operators_path_);
   } catch (const ConfigError& error) {
-    ++reload_errors_;
-    return log_.Write(base::kConfigUnusable, error.what());
+    return Refuse(error);
   }
   // The platform's word first. It is a fact and not on trial: undoing it would leave the node at an address
   // that is gone.
@@ -85,11 +85,9 @@
     ++reloads_;
     if (changed) owner_.Adopt(std::move(adopted));
   } catch (const ConfigError& error) {
-    ++reload_errors_;
-    log_.Write(base::kConfigUnusable, error.what());
+    return Refuse(error);  // and nothing of the operator's file beside it acts
   }
-  const bool proposes = store_ != nullptr && config::Hash(file) != transactions_.history().seen_file;
-  if (proposes) {
+  if (store_ != nullptr && config::Hash(file) != transactions_.history().seen_file) {
     config::Proposal proposal;
     proposal.author = "SIGHUP";
     proposal.reason = "the file " + name + " changed";
@@ -101,6 +99,16 @@
   }
 }
 
+void Changes::Refuse(const ConfigError& error) {
+  ++reload_errors_;
+  last_refusal_ = error.what();
+  log_.Write(base::kConfigUnusable, last_refusal_);
+}
+
+std::string Changes::DocumentInForce() const {
+  return sources_.platform.given ? config::Hash(sources_.platform.text) : "";
+}
+
 // ---- Effects ----------------------------------------------------------------------------------------------
 
 void Changes::Feed(config::TransactionEvent event) {
--- a/src/node/changes.h
+++ b/src/node/changes.h
@@ -50,6 +50,8 @@
 
  private:
   void ReadFiles();
+  void Refuse(const ConfigError& error);  // what was read at SIGHUP: the old settings go on, whole
+  std::string DocumentInForce() const;    // the platform's, by its hash; empty: there is none
   void Feed(config::TransactionEvent event);
   void Do(const config::Save&);
   void Do(const config::Apply& e);
@@ -73,6 +75,7 @@
   config::Sources sources_;  // in force
   LastGoodFile last_good_;
   std::uint64_t reloads_ = 0, reload_errors_ = 0;
+  std::string last_refusal_;  // every fault of the last file turned down; empty: none was
   const std::string operators_path_;
   const StepHook step_;
   std::unique_ptr<config::Store> store_;  // none without an operator's file
--- a/src/node/changes_requests.cpp
+++ b/src/node/changes_requests.cpp
@@ -66,7 +66,11 @@
           {"kept", transactions_.history().kept},
           {"on_trial", transactions_.on_trial()},
           {"trial_left_ms", left.count() / 1000},
-          {"waiting", transactions_.queued()}};
+          {"waiting", transactions_.queued()},
+          {"platform_document", DocumentInForce()},
+          {"taken", reloads_},
+          {"refused", reload_errors_},
+          {"last_refusal", last_refusal_}};
 }
 
 }  // namespace indigosaddle::node
