The platform's document is taken whole or not at all: one schema, no defaults, held against the one in force

Cause: absent meant default. Change: src/config/platform_document holds the document against the schema (each value required, optional, or required of a keyed class; type, range, names twice, lists side by side) and against the document in force: a key, of whatever use, that is there and not in the new one is a fault. strict_json refuses a key that stands twice. The node's settings are read by functions without defaults (config_settings.cpp); the flattening is gone. The same judge serves SIGHUP, start, successor, config check and a change of the operator's file. A start holds its file against the last good one and serves by that where it fails. The last good file is read within bounds, and no longer parsed each second where it is too long. Fixtures and the example have the keys that the platform gives. Config.TruncatedAndMutatedTextsAreReadOrRefused asked for one line; several faults are now said, and it asks instead that each line names one.

--- a/src/cli/common.cpp
+++ b/src/cli/common.cpp
@@ -15,6 +15,7 @@
 
 #include "base/descriptor.h"
 #include "cli/cli.h"
+#include "node/beginning.h"
 
 namespace indigosaddle::cli {
 namespace {
@@ -38,7 +39,9 @@
   const bool json = file.ends_with(".json");
   if (json) environment["EDGE_CONFIG"] = file;
   try {
-    return node::MakeConfig(node::ReadSources(environment, json ? "" : file));
+    config::Sources sources = node::ReadSources(environment, json ? "" : file);
+    node::HoldAgainstLastGood(sources);
+    return node::MakeConfig(sources);
   } catch (const node::ConfigError& error) {
     throw Failure(Exit::kBadInput, error.what());
   }
--- a/src/config/document.cpp
+++ b/src/config/document.cpp
@@ -106,13 +106,10 @@
       const toml::table& table = *list->get(i)->as_table();
       Section(table, name + "[]", path, i);
       if (!table.contains("name")) Say(table.source(), path, "has no \"name\"");
-      for (const Item& item : Schema()) {  // values beside each other: none may be left out
+      for (const Item& item : Schema()) {  // what a table leaves out has its default
         const std::string_view at = item.path;
-        if (at.substr(0, at.rfind('.')) != name + "[]" || !std::string_view(item.told).ends_with("[]"))
-          continue;
-        if (item.absent[0] != '\0' && At(document_.told, item.told, i) == nullptr) {
-          Put(document_.told, item.told, i, *ToTold(item, json::parse(item.absent, nullptr, false)));
-        }
+        if (at.substr(0, at.rfind('.')) != name + "[]" || item.absent[0] == '\0') continue;
+        if (At(document_.told, item.told, i) == nullptr) Put(document_.told, item.told, i, DefaultOf(item));
       }
     }
   }
--- a/src/config/document.h
+++ b/src/config/document.h
@@ -40,6 +40,9 @@
 std::vector<Fault> Contradictions(const nlohmann::json& told, const std::string& file,
                                   const std::map<std::string, Place>& places);
 
+// The places in a list whose name stands earlier in it too: "settings.classes[].name", "settings.zones[]".
+std::vector<std::size_t> Repeated(const nlohmann::json& told, std::string_view names);
+
 // The value at "settings.classes[].aim", with `index` for "[]"; null where it is not.
 const nlohmann::json* At(const nlohmann::json& root, std::string_view told, std::size_t index);
 void Put(nlohmann::json& root, std::string_view told, std::size_t index, nlohmann::json value);
--- a/src/config/document_checks.cpp
+++ b/src/config/document_checks.cpp
@@ -11,6 +11,17 @@
 
 using nlohmann::json;
 
+std::vector<std::size_t> Repeated(const json& told, std::string_view names) {
+  std::vector<std::size_t> places;
+  const json* list = At(told, names.substr(0, names.find("[]")), 0);
+  std::set<json> seen;
+  for (std::size_t i = 0; list != nullptr && list->is_array() && i < list->size(); ++i) {
+    const json* name = At(told, names, i);
+    if (name != nullptr && !seen.insert(*name).second) places.push_back(i);
+  }
+  return places;
+}
+
 std::vector<Fault> Contradictions(const json& told, const std::string& file,
                                   const std::map<std::string, Place>& places) {
   std::vector<Fault> faults;
@@ -22,22 +33,16 @@
     const json* value = At(told, at, index);
     return value != nullptr && value->is_number() ? value->get<double>() : absent;
   };
-  const auto names = [&](const char* list, const char* name, const char* path) {
-    const json* all = At(told, list, 0);
-    std::set<json> seen;
-    for (std::size_t i = 0; all != nullptr && all->is_array() && i < all->size(); ++i) {
-      const json* one = At(told, name, i);
-      if (one != nullptr && !seen.insert(*one).second) {
-        say(fmt::format("{}[{}].name", path, i), fmt::format("{} is named twice", one->dump()));
-      }
-    }
-    return all != nullptr && all->is_array() ? all->size() : 0;
+  const auto names = [&](const char* all, const char* path) {
+    for (const std::size_t i : Repeated(told, all))
+      say(fmt::format("{}[{}].name", path, i), fmt::format("{} is named twice", At(told, all, i)->dump()));
   };
-  const std::size_t classes = names("settings.classes", "settings.classes[].name", "classes");
-  names("settings.orgs", "settings.orgs[].name", "tenants");
-  names("settings.machineTypes", "settings.machineTypes[]", "kinds");
-  names("settings.zones", "settings.zones[]", "zones");
-  for (std::size_t i = 0; i < classes; ++i) {
+  names("settings.classes[].name", "classes");
+  names("settings.orgs[].name", "tenants");
+  names("settings.machineTypes[]", "kinds");
+  names("settings.zones[]", "zones");
+  const json* classes = At(told, "settings.classes", 0);
+  for (std::size_t i = 0; classes != nullptr && classes->is_array() && i < classes->size(); ++i) {
     const auto at = [&](const char* name) { return fmt::format("classes[{}].{}", i, name); };
     const double aim = number("settings.classes[].aim", i, 0),
                  deadline = number("settings.classes[].deadline", i, 0);
--- a/src/config/layers.cpp
+++ b/src/config/layers.cpp
@@ -5,6 +5,9 @@
 #include <algorithm>
 #include <utility>
 
+#include "config/platform_document.h"
+#include "config/strict_json.h"
+
 namespace indigosaddle::config {
 namespace {
 
@@ -54,6 +57,27 @@
   return fmt::format("{}[{}]{}", path.substr(0, at), index, path.substr(at + 2));
 }
 
+// The platform's document over what is merged so far, or its faults.
+void ReadPlatform(const Sources& sources, Effective& e) {
+  const std::string& name = sources.platform.name;
+  ParsedObject parsed = ParseObject(sources.platform.text, name);
+  std::vector<Fault>& faults = parsed.faults;
+  if (faults.empty()) {
+    parsed.value.erase("operator");  // the operator's own part is no matter of the platform's
+    faults = CheckPlatformDocument(parsed.value, name,
+                                   sources.operators.given ? Below::kOperatorsFile : Below::kNothing);
+  }
+  if (faults.empty() && sources.in_force.given) {
+    const ParsedObject in_force = ParseObject(sources.in_force.text, sources.in_force.name);
+    faults = MissingSince(in_force.value, parsed.value, name);
+  }
+  e.faults.insert(e.faults.end(), faults.begin(), faults.end());
+  e.platform_usable = faults.empty();
+  if (!e.platform_usable) return;
+  e.platform = std::move(parsed.value);
+  Merge(e.merged, e.platform);
+}
+
 }  // namespace
 
 Effective Combine(const Sources& sources) {
@@ -67,10 +91,8 @@
     e.operators = ReadDocument(sources.operators.text, sources.operators.name);
     e.faults = e.operators.faults;
     for (const Item& item : Schema()) {
-      if (item.absent[0] == '\0' || std::string_view(item.path).find("[]") != std::string_view::npos)
-        continue;
-      const bool text = item.type == Type::kWord || item.type == Type::kDuration || item.type == Type::kBytes;
-      Put(e.merged, item.told, 0, *ToTold(item, text ? json(item.absent) : json::parse(item.absent)));
+      const bool of_list = std::string_view(item.path).find("[]") != std::string_view::npos;
+      if (item.absent[0] != '\0' && !of_list) Put(e.merged, item.told, 0, DefaultOf(item));
     }
     Merge(e.merged, e.operators.told);
     if (e.faults.empty()) {
@@ -78,16 +100,7 @@
       e.faults.insert(e.faults.end(), more.begin(), more.end());
     }
   }
-  if (sources.platform.given) {
-    e.platform = json::parse(sources.platform.text, nullptr, false);
-    if (e.platform.is_object()) {
-      e.platform.erase("operator");  // the operator's own part is no matter of the platform's
-      Merge(e.merged, e.platform);
-    } else {
-      e.platform = json::object();
-      e.faults.push_back({sources.platform.name, {}, "", "expected one JSON object"});
-    }
-  }
+  if (sources.platform.given) ReadPlatform(sources, e);
   for (const Variable& variable : kVariables) {
     if (Deciding(e, variable.told) != nullptr)
       e.merged[variable.told] = sources.environment.at(variable.name);
--- a/src/config/layers.h
+++ b/src/config/layers.h
@@ -20,11 +20,13 @@
 struct Sources {
   Source operators, platform;
   std::map<std::string, std::string> environment;  // EDGE_ variables
+  Source in_force = {};  // the platform's document that `platform` follows, for what that may not leave out
 };
 
 struct Effective {
   nlohmann::json merged;  // the platform's form; an object without faults
   bool has_operators = false;
+  bool platform_usable = true;  // where one is given
   std::vector<Fault> faults;
   Document operators;
   nlohmann::json platform = nlohmann::json::object();
@@ -32,8 +34,7 @@
   std::map<std::string, std::string> environment;
 };
 
-// A text that is no JSON object at all is a fault. What the platform's JSON holds is judged by its own reader
-// (src/node/config.h), so that it stays as the platform's page says.
+// Nothing of a source with a fault is in `merged`.
 Effective Combine(const Sources& sources);
 
 struct Shown {
--- a/src/config/schema.cpp
+++ b/src/config/schema.cpp
@@ -95,6 +95,11 @@
   return std::nullopt;
 }
 
+json DefaultOf(const Item& item) {
+  const bool bare = item.type == Type::kFlag || item.type == Type::kInteger || item.type == Type::kNumber;
+  return *ToTold(item, bare ? json::parse(item.absent) : json(item.absent));
+}
+
 std::string Expected(const Item& item) {
   switch (item.type) {
     case Type::kText:
--- a/src/config/schema_lists.cpp
+++ b/src/config/schema_lists.cpp
@@ -10,6 +10,9 @@
 constexpr double kMany = 1e6;
 constexpr auto kRun = Change::kRunning;
 constexpr auto kStart = Change::kRestart;
+constexpr PlatformRule kMust{Presence::kRequired, false}, kMustOverZero{Presence::kRequired, true};
+constexpr PlatformRule kWithKey{Presence::kOfKeyedClass, false},
+    kWithKeyOverZero{Presence::kOfKeyedClass, true};
 
 }  // namespace
 
@@ -17,42 +20,43 @@
   static const std::vector<Item> rows = {
       // ---- lists
       {"classes[].name", "settings.classes[].name", kText, 1, 64, "", kRun, "", "Its name in a client's c=.",
-       "A class may be added while running; it is removed only while no message of it is held."},
+       "A class may be added while running; it is removed only while no message of it is held.", kMust},
       {"classes[].effect", "settings.classes[].effect", kWord, 0, 0, "unsafe", kRun,
        "safe=read_like|keyed=idempotency_key|unsafe=non_idempotent",
        "Whether an attempt that may have run may be repeated: safe always, keyed while its key lives, unsafe "
        "never.",
-       "Only with the partners' word: a wrong one doubles effects."},
+       "Only with the partners' word: a wrong one doubles effects.", kMust},
       {"classes[].group", "settings.classes[].group", kWord, 0, 0, "cell", kRun,
        "all=all|zone=zone|cell=cell", "Which endpoints of a destination drop a repeat with the same key.",
-       "As partners keep their keys."},
+       "As partners keep their keys.", kWithKey},
       {"classes[].key_ttl", "settings.classes[].keyTtl", kDuration, 0, 7 * kDay, "0ms", kRun, "",
-       "How long partners remember a key.", "To the shortest time of any partner."},
+       "How long partners remember a key.", "To the shortest time of any partner.", kWithKeyOverZero},
       {"classes[].aim", "settings.classes[].aim", kDuration, 0, kDay, "0ms", kRun, "",
-       "When its messages should be through.", "Shorter: more urgent than others, shorter time-outs."},
+       "When its messages should be through.", "Shorter: more urgent than others, shorter time-outs.", kMust},
       {"classes[].deadline", "settings.classes[].deadline", kDuration, 0, kDay, "0ms", kRun, "",
-       "How long clients give its messages.", "With the clients' own."},
+       "How long clients give its messages.", "With the clients' own.", kMustOverZero},
       {"classes[].worth", "settings.classes[].worth", kNumber, 0, kMany, "0", kRun, "",
-       "What one delivery in time is worth, beside other classes.", "Who goes first when not all can."},
+       "What one delivery in time is worth, beside other classes.", "Who goes first when not all can.",
+       kMust},
       {"classes[].late_value", "settings.classes[].lateValue", kNumber, 0, 1, "0", kRun, "",
-       "Part of the worth that is left at the deadline.", "0 where a late one is as good as none."},
+       "Part of the worth that is left at the deadline.", "0 where a late one is as good as none.", kMust},
       {"classes[].sequential", "settings.classes[].sequential", kFlag, 0, 0, "false", kRun, "",
        "Whether messages with one order key go one by one, in the order taken.",
        "Where order matters to partners."},
       {"tenants[].name", "settings.orgs[].name", kText, 1, 64, "", kRun, "", "Its name in a client's t=.",
-       "A tenant may be added while running; it is removed only while no message of it is held."},
+       "A tenant may be added while running; it is removed only while no message of it is held.", kMust},
       {"tenants[].quota", "settings.orgs[].quotaRps", kNumber, 0, kMany, "0", kRun, "",
        "Messages a second over all nodes that count as its share; 0: no share is kept.",
-       "When a tenant's contract changes."},
+       "When a tenant's contract changes.", kMust},
       {"kinds[].name", "settings.machineTypes[]", kText, 1, 64, "", kStart, "",
-       "A kind of destination, as lists name it.", "When discovery names a new kind."},
+       "A kind of destination, as lists name it.", "When discovery names a new kind.", kMust},
       {"kinds[].separate_routes", "settings.familyInfo.separateRoutes[]", kFlag, 0, 0, "false", kStart, "",
-       "Whether each endpoint of such a destination has a limit of its own.",
-       "As the partner's limit works."},
+       "Whether each endpoint of such a destination has a limit of its own.", "As the partner's limit works.",
+       kMust},
       {"zones[].name", "settings.zones[]", kText, 1, 64, "", kStart, "", "A network zone, as lists name it.",
-       "When zones change."},
+       "When zones change.", kMust},
       {"zones[].fee", "settings.familyInfo.zoneFee[]", kNumber, 0, kMany, "0", kStart, "",
-       "Fee of a route in that zone; lower ones are taken first among equals.", "When prices change."},
+       "Fee of a route in that zone; lower ones are taken first among equals.", "When prices change.", kMust},
       // ---- watching other settings
       {"watch.on", "watch.on", kFlag, 0, 0, "false", kStart, "",
        "Whether a second decider is fed the same events with the settings of this section, does nothing, and "
--- a/src/node/beginning.cpp
+++ b/src/node/beginning.cpp
@@ -5,8 +5,10 @@
 #include <chrono>
 #include <optional>
 #include <utility>
+#include <vector>
 
 #include "config/store.h"
+#include "config/strict_json.h"
 #include "node/last_good_file.h"
 
 namespace indigosaddle::node {
@@ -14,6 +16,15 @@
 
 using nlohmann::json;
 
+constexpr const char* kLastGoodName = "the last good platform file";
+
+// The folder that the sources name; empty: none.
+std::string FolderOf(const config::Sources& sources) {
+  const config::Effective e = config::Combine(sources);
+  const json* told = config::At(e.merged, "state", 0);
+  return told != nullptr && told->is_string() ? told->get<std::string>() : "";
+}
+
 Beginning BeginWith(config::Sources sources, const std::string& operators_path, const StepHook& step) {
   Beginning b;
   b.operators_path = operators_path;
@@ -30,10 +41,7 @@
     folder = MakeConfig(b.sources).state_folder;
   } catch (const ConfigError& error) {
     unusable = error.what();
-    const config::Effective e = config::Combine(b.sources);
-    if (const json* told = config::At(e.merged, "state", 0); told != nullptr && told->is_string()) {
-      folder = told->get<std::string>();
-    }
+    folder = FolderOf(b.sources);
     if (folder.empty()) throw;
   }
   config::History saved;
@@ -66,7 +74,7 @@
   config::Sources sources;
   if (!operators_path.empty()) sources = ReadSources(without_platform, operators_path);
   sources.environment = environment;
-  sources.platform = {true, "the last good platform file", *text};
+  sources.platform = {true, kLastGoodName, *text};
   return sources;
 }
 
@@ -84,10 +92,26 @@
 
 }  // namespace
 
+std::string HoldAgainstLastGood(config::Sources& sources) {
+  const std::string folder = FolderOf(sources);
+  if (folder.empty() || !sources.platform.given) return "";
+  const std::optional<std::string> text = LastGoodFile(folder).Load();
+  if (!text) return "";
+  const std::vector<config::Fault> faults = config::ParseObject(*text, kLastGoodName).faults;
+  if (!faults.empty()) return config::ToText(faults, "; ");
+  sources.in_force = {true, kLastGoodName, *text};
+  return "";
+}
+
 Beginning Begin(const std::map<std::string, std::string>& environment, const std::string& operators_path,
                 const StepHook& step) {
   try {
-    return BeginWith(ReadSources(environment, operators_path), operators_path, step);
+    config::Sources sources = ReadSources(environment, operators_path);
+    const std::string damaged = HoldAgainstLastGood(sources);
+    Beginning beginning = BeginWith(std::move(sources), operators_path, step);
+    beginning.sources.in_force = {};
+    if (!damaged.empty()) beginning.trouble += (beginning.trouble.empty() ? "" : "; ") + damaged;
+    return beginning;
   } catch (const ConfigError& error) {
     // A process that runs goes on by what it had when it reads a file that is broken, half written or gone.
     // One that starts does the same: it owes what the one before it took on.
--- a/src/node/beginning.h
+++ b/src/node/beginning.h
@@ -28,4 +28,8 @@
 Beginning Begin(const std::map<std::string, std::string>& environment, const std::string& operators_path,
                 const StepHook& step = {});
 
+// Has the platform's document among `sources` judged against the last one that was taken, where the state
+// folder keeps it. Returns what is wrong with that one, if anything; it is then left out.
+std::string HoldAgainstLastGood(config::Sources& sources);
+
 }  // namespace indigosaddle::node
--- a/src/node/changes.cpp
+++ b/src/node/changes.cpp
@@ -73,6 +73,7 @@
   // that is gone.
   const std::string file = std::exchange(next.operators.text, sources_.operators.text);
   const std::string name = std::exchange(next.operators.name, sources_.operators.name);
+  next.in_force = sources_.platform;
   bool changed = false;
   try {
     const Config told = MakeConfig(next);
--- a/src/node/config.cpp
+++ b/src/node/config.cpp
@@ -3,12 +3,10 @@
 #include <fmt/format.h>
 
 #include <algorithm>
-#include <array>
 #include <cstdlib>
-#include <filesystem>
-#include <fstream>
-#include <system_error>
+#include <utility>
 
+#include "base/read_file.h"
 #include "node/config_read.h"
 
 namespace indigosaddle::node {
@@ -17,32 +15,22 @@
 constexpr std::size_t kMostBytes = std::size_t{4} * 1024 * 1024;  // of the file
 
 std::string ReadFile(const std::string& path) {
-  std::error_code ignored;
-  if (!std::filesystem::is_regular_file(path, ignored))
-    throw ConfigError(fmt::format("{}: is no file", path));
-  std::ifstream file(path, std::ios::binary);
-  if (!file) throw ConfigError(fmt::format("{}: can't be read", path));
-  std::string text;
-  for (std::array<char, 4096> block{}; text.size() <= kMostBytes && file;) {
-    file.read(block.data(), block.size());
-    text.append(block.data(), static_cast<std::size_t>(file.gcount()));
-  }
-  if (text.size() > kMostBytes) throw ConfigError(fmt::format("{}: is too long", path));
-  return text;
+  base::FileText file = base::ReadFile(path, kMostBytes);
+  if (!file.trouble.empty()) throw ConfigError(file.trouble);
+  return std::move(file.text);
 }
 
 }  // namespace
 
 Config MakeConfig(const config::Sources& sources) {
   config::Effective e = config::Combine(sources);
-  if (sources.operators.given) CheckWhole(e), CheckFleet(e);
+  if (sources.operators.given && e.platform_usable) CheckWhole(e), CheckFleet(e);
   std::stable_sort(e.faults.begin(), e.faults.end(), [](const config::Fault& a, const config::Fault& b) {
     return std::pair(a.at.line, a.at.column) < std::pair(b.at.line, b.at.column);
   });
   if (!e.faults.empty()) throw ConfigError(config::ToText(e.faults, "\n"));
   const std::string& name = sources.platform.given ? e.platform_name : e.operators_name;
   try {
-    if (sources.platform.given) CheckPlatform(e.platform);
     Config config = FromMerged(e.merged);
     if (sources.operators.given) ReadOperators(e.merged, config);
     config.shown = config::ShowAll(e);
--- a/src/node/config_platform.cpp
+++ b/src/node/config_platform.cpp
@@ -8,8 +8,6 @@
 
 #include "net/loop.h"
 #include "node/config_read.h"
-#include "wire/codec.h"
-#include "wire/settings.h"
 
 namespace indigosaddle::node {
 namespace {
@@ -18,47 +16,6 @@
 
 constexpr double kMegabyte = 1e6;
 
-std::string Escape(std::string text) {
-  for (char& c : text) {
-    if (c == ' ' || c == ',' || c == '\n' || c == '\r') c = '_';
-  }
-  return text.empty() ? "_" : text;
-}
-
-std::string Plain(const json& value) {
-  if (value.is_string()) return Escape(value.get<std::string>());
-  if (value.is_number_float()) return fmt::format("{}", value.get<double>());
-  return value.dump();  // whole numbers and truth values
-}
-
-// The settings in the pairs form of the simulator's first message, so that both are read by the same code.
-void Flatten(const json& value, const std::string& path, std::string& pairs) {
-  const auto add = [&](const std::string& name, const std::string& text) {
-    if (!pairs.empty()) pairs += ' ';
-    pairs += name + '=' + text;
-  };
-  if (value.is_object()) {
-    for (const auto& [name, item] : value.items()) {
-      Flatten(item, path.empty() ? Escape(name) : path + '.' + Escape(name), pairs);
-    }
-  } else if (value.is_array()) {
-    const bool objects = !value.empty() && value.front().is_object();
-    if (objects) {
-      add(path + ".count", std::to_string(value.size()));
-      for (std::size_t i = 0; i < value.size(); ++i) Flatten(value[i], path + '.' + std::to_string(i), pairs);
-      return;
-    }
-    std::string joined;
-    for (const json& item : value) {
-      if (!joined.empty()) joined += ',';
-      joined += Plain(item);
-    }
-    if (!joined.empty()) add(path, joined);
-  } else if (!value.is_null()) {
-    add(path, Plain(value));
-  }
-}
-
 const json& At(const json& object, const char* name) {
   static const json absent;
   const auto it = object.find(name);
@@ -164,51 +121,20 @@
 
   if (const json& known = At(whole, "known"); known.is_object()) config.known = known.dump();
 
-  const json& settings = At(whole, "settings");
-  if (!settings.is_object()) throw ConfigError("settings: expected an object");
-  try {
-    std::string pairs;
-    Flatten(settings, "", pairs);
-    const wire::Fields fields(pairs, 1);
-    config.settings = wire::ReadSettings(fields);
-    config.connect_timeout = fields.Time("caps.dialTimeout", Micros(0));
-  } catch (const wire::WireError& error) {
-    throw ConfigError(fmt::format("settings: {}", error.what()));
-  }
-  if (config.settings.classes.empty()) throw ConfigError("settings.classes: expected at least one class");
+  config.settings = ReadSettings(whole);
+  config.connect_timeout = ReadConnectTimeout(whole);
   ReadWatched(whole, config.watched);
   const std::string seed = Text(whole, "seed");
   const auto [end, error] = std::from_chars(seed.data(), seed.data() + seed.size(), config.settings.seed, 16);
   if (error != std::errc() || end != seed.data() + seed.size()) {
     throw ConfigError("seed: expected at most 16 hex digits");
   }
+  const json& settings = At(whole, "settings");
   config.classes = Names(At(settings, "classes"));
   config.tenants = Names(At(settings, "orgs"));
   config.zones = Names(At(settings, "zones"));
   config.kinds = Names(At(settings, "machineTypes"));
-  // A call on the sockets carries one message, whatever a kind would take.
-  for (KindSettings& kind : config.settings.kinds) kind.per_call = 1;
   return config;
 }
 
-// What the platform's JSON must say beyond its form: a message has at least one attempt and some time. A
-// number that the operator's file leaves out is its default, so this is asked of the platform's words alone.
-void CheckPlatform(const json& platform) {
-  std::string faults;
-  const auto fault = [&](const std::string& what) { faults += (faults.empty() ? "" : "\n") + what; };
-  const json* attempts = config::At(platform, "settings.caps.attemptsCap", 0);
-  if (attempts != nullptr && !(attempts->is_number() && attempts->get<double>() > 0)) {
-    fault("settings.caps.attemptsCap: " + attempts->dump() + "; expected a number over 0");
-  }
-  const json* classes = config::At(platform, "settings.classes", 0);
-  for (std::size_t i = 0; classes != nullptr && classes->is_array() && i < classes->size(); ++i) {
-    const json& item = (*classes)[i];
-    const auto it = item.is_object() ? item.find("deadline") : item.end();
-    if (item.is_object() && it != item.end() && !(it->is_number() && it->get<double>() > 0)) {
-      fault(fmt::format("settings.classes[{}].deadline: {}; expected a number over 0", i, it->dump()));
-    }
-  }
-  if (!faults.empty()) throw ConfigError(faults);
-}
-
 }  // namespace indigosaddle::node
--- a/src/node/config_read.h
+++ b/src/node/config_read.h
@@ -11,8 +11,9 @@
 // From the platform's form. Throws ConfigError.
 Config FromMerged(const nlohmann::json& whole);
 
-// What the platform's JSON must say beyond its form. Throws ConfigError.
-void CheckPlatform(const nlohmann::json& platform);
+// The parts of it that the module and its calls go by.
+Settings ReadSettings(const nlohmann::json& whole);
+Micros ReadConnectTimeout(const nlohmann::json& whole);
 
 // What a file of the operator's own must say, and cannot be said by a range alone, as further faults; and a
 // seed, where it has none.
--- a/src/node/last_good_file.h
+++ b/src/node/last_good_file.h
@@ -16,11 +16,11 @@
   // Keeps `text`, but for the list of endpoints in it, which ages and may be long. Tried again by the next
   // call where the folder takes no writes; left out where it is longer than `most`.
   void Keep(const std::string& text, std::size_t most);
-  std::optional<std::string> Load() const;  // nothing: none is kept
+  std::optional<std::string> Load() const;  // nothing: none is kept, or it can't be read
 
  private:
   const std::string path_;
-  std::string kept_;  // the text that the file holds
+  std::string seen_;  // the text that the file holds, or that is too long for it
 };
 
 }  // namespace indigosaddle::node
--- a/tests/node_parts_test.cpp
+++ b/tests/node_parts_test.cpp
@@ -9,6 +9,7 @@
 #include <iterator>
 #include <map>
 #include <random>
+#include <sstream>
 #include <string>
 
 #include "node/config.h"
@@ -21,15 +22,18 @@
 const std::string kConfig = R"({"name":"n3","listen":"127.0.0.1:0","discovery":"127.0.0.1:8500",
   "seed":"8c1f30d27a5be964","limits":{"cores":1.0,"memory_mb":192,"sockets":1024,"disk_mb":3},
   "known":{"seq":41,"whole":true,"hosts":[]},
-  "settings":{"balancers":2,"tick":5.0,"discovery":"pushed",
-    "caps":{"attemptsCap":12,"dialTimeout":1500.0,"idleClose":15000.0,"maxOpen":165},
+  "settings":{"balancers":2,"tick":5.0,"discovery":"pushed","weightKind":"off","overShareWorth":0.2,
+    "caps":{"attemptsCap":12,"dialTimeout":1500.0,"idleClose":15000.0,"maxOpen":165,"maxRetryAfter":2000.0,
+            "retryAfter":true},
     "classes":[{"name":"zone notice","aim":2500.0,"deadline":20000.0,"effect":"idempotency_key","group":"all",
                 "keyTtl":20000.0,"worth":1.0,"lateValue":0.4,"stream":false},
-               {"name":"b","effect":"non_idempotent"}],
+               {"name":"b","aim":2500.0,"deadline":20000.0,"effect":"non_idempotent","worth":1.0,
+                "lateValue":0.4,"stream":false}],
     "orgs":[{"name":"sir-gar","quotaRps":15.0}],
     "familyInfo":{"callSlots":9,"perCall":[1,5],"separateRoutes":[false,true],"decay":"even",
-                  "notes":"full: milliseconds, 0 if none","zoneFee":[]},
-    "guarantees":{"coldFrom":0.23,"cold":14000.0,"fall":2000.0,"overloadFactor":2.0},
+                  "notes":"full: milliseconds, 0 if none","zoneFee":[0.0]},
+    "guarantees":{"coldFrom":0.23,"cold":14000.0,"fall":2000.0,"overloadFactor":2.0,"mustAskIn":10000.0},
+    "prices":{"crossZone":0.0,"handshake":0.06},
     "machineTypes":["ordering-platforms","single-shops"],"zones":["carmarthen-dc"],"zone":0}})";
 const std::map<std::string, std::string> kEnvironment = {{"EDGE_STATE", "/state"}};
 
@@ -132,6 +136,13 @@
   EXPECT_THROW(MakeConfig(ReadSources({{"EDGE_CONFIG", "/no/such/file"}}, "")), ConfigError);
 }
 
+// What is wrong, and where or what was expected instead.
+bool SaysAFault(const std::string& line) {
+  for (const char* words : {"expected ", "is missing", "stands twice", "is named twice", "nested over"})
+    if (line.find(words) != std::string::npos) return true;
+  return false;
+}
+
 // Half written, or with any bytes changed: it is read, or refused by a ConfigError, never anything else.
 TEST(Config, TruncatedAndMutatedTextsAreReadOrRefused) {
   int refused = 0, read = 0;
@@ -142,7 +153,8 @@
       EXPECT_GT(config.sockets, 0u);
       ++read;
     } catch (const ConfigError& error) {
-      EXPECT_EQ(std::string(error.what()).find('\n'), std::string::npos);
+      std::istringstream lines(error.what());
+      for (std::string line; std::getline(lines, line);) EXPECT_TRUE(SaysAFault(line)) << line;
       ++refused;
     }
   };
