The soak draws broken files of every sort and judges by a model of its own which one is in force

Change: files short of any key, null, of another type, out of range, with a key twice, cut anywhere, all loosening the class; several in a row, replaced between two signals, left for the next start. A deadline is drawn too.

--- a/tests/node_soak_test.cpp
+++ b/tests/node_soak_test.cpp
@@ -73,8 +73,10 @@
   void ChangeSettings(SoakNode& node) {
     for (int i = Draw(2); i >= 0; --i)
       node.ChangeSettings(), std::this_thread::sleep_for(milliseconds(Draw(300)));
-    if (Draw(2) == 0) node.BreakFile();
-    if (Draw(2) == 0) node.ChangeFileOnly();  // for its next start, or with the next change
+    for (int i = Draw(3); i > 0; --i) node.BreakFile();
+    if (Draw(3) == 0) node.ReplaceBetweenHangups();
+    if (Draw(3) == 0) node.ChangeFileOnly();  // for its next start, or with the next signal
+    if (Draw(3) == 0) node.BreakFileOnly();
   }
 
   void SignalsAt(SoakNode& node) {
@@ -87,13 +89,13 @@
       node.Start();
     }
     if (kind == 3) {
-      for (int i = 0; i < 5; ++i) node.Signal(SIGHUP), std::this_thread::sleep_for(milliseconds(Draw(30)));
+      node.Hangups(5, milliseconds(Draw(30)));
     }
     if (kind == 4) {
       node.Signal(SIGSTOP);
       std::this_thread::sleep_for(milliseconds(100));
       node.Signal(SIGCONT);
-      node.Signal(SIGHUP);
+      node.Hangup();
       node.Replace(false);
     }
   }
--- a/tests/soak_node.h
+++ b/tests/soak_node.h
@@ -2,12 +2,14 @@
 #pragma once
 
 #include <csignal>
+#include <cstdio>
 #include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "soak_faults.h"
-#include "soak_rules.h"
+#include "soak_files.h"
 
 namespace indigosaddle::testing {
 
@@ -19,7 +21,7 @@
 class SoakNode {
  public:
   SoakNode(PlatformStandIn& platform, int number, int senders, std::uint64_t seed)
-      : process_(platform.address()), changer_(seed) {
+      : process_(platform.address()), changer_(seed), breaker_(seed + 1) {
     process_.config["name"] = "n" + std::to_string(number);
     process_.config["settings"]["balancers"] = senders;
     auto& classes = process_.config["settings"]["classes"];
@@ -27,9 +29,13 @@
     classes.back()["name"] = kShiftingClass;
     classes.back()["effect"] = "non_idempotent";
     for (auto& one : classes) one["deadline"] = kClassDeadline;
+    on_disk_ = Good();
   }
   void Start() {
-    timeline_.Set(Clock::now(), process_.config["settings"]["classes"]);
+    // Where the folder took no writes for a while, what was in force may be kept nowhere.
+    if (faults_ && !on_disk_.good) on_disk_ = Good();
+    process_.raw_config = on_disk_.text;
+    if (in_force_.OnStart(on_disk_)) timeline_.Set(Clock::now(), in_force_.classes());
     if (!process_.Start()) {
       ADD_FAILURE() << "it does not start";
       return;
@@ -82,13 +88,46 @@
   // A new file and SIGHUP; back once the node has read it.
   void ChangeSettings() {
     changer_.Change(process_.config);
-    timeline_.Set(Clock::now(), process_.config["settings"]["classes"]);
-    Reload(process_.config.dump());
+    Write(Good());
+    Hangup();
+  }
+  // A file that can't be used: the node goes on as it was, also over a restart.
+  void BreakFile() {
+    Write(breaker_.Break(process_.config));
+    Hangup();
+  }
+  // A new file without a signal, for the next start or SIGHUP.
+  void ChangeFileOnly() {
+    changer_.Change(process_.config);
+    Write(Good());
+  }
+  void BreakFileOnly() { Write(breaker_.Break(process_.config)); }
+  // SIGHUP; back once the node has read its file.
+  void Hangup() {
+    const Reading before = LastReading();
+    process_.Signal(SIGHUP);
+    Expect(before, 1);
+  }
+  // Several in a row; the system may tell some of them as one.
+  void Hangups(int count, milliseconds pause) {
+    const Reading before = LastReading();
+    for (int i = 0; i < count; ++i) process_.Signal(SIGHUP), std::this_thread::sleep_for(pause);
+    Expect(before, count);
+  }
+  // A broken file that a good one replaces between two signals in a row: either may be read at the first.
+  void ReplaceBetweenHangups() {
+    const Reading before = LastReading();
+    process_.WriteConfig(breaker_.Break(process_.config).text);
+    process_.Signal(SIGHUP);
+    changer_.Change(process_.config);
+    Write(Good());
+    process_.Signal(SIGHUP);
+    const Reading now = Settled(before);
+    EXPECT_GE(now.taken, before.taken + 1) << "the good file was not taken";
+    EXPECT_LE(now.count, before.count + 2);
+    if (in_force_.OnSignal(on_disk_)) timeline_.Set(Clock::now(), in_force_.classes());
+    in_force_.Recount(now.taken, now.refused);
   }
-  // A file that can't be used: the node goes on as it was. The next start finds a good one.
-  void BreakFile() { Reload(changer_.Broken(process_.config)); }
-  // A new file without a signal, for the next start.
-  void ChangeFileOnly() { changer_.Change(process_.config); }
 
   bool Ended() { return process_.Ended(); }
   // No notice is overdue from the signal of a restart until some time after it is ready again.
@@ -107,26 +146,56 @@
     Clock::time_point from, to;
   };
 
-  void Reload(const std::string& text) {
-    const std::size_t before = Reloads();
-    process_.WriteConfig(text);
-    process_.Signal(SIGHUP);
+  // What the node's log says of its files: each SIGHUP is one line, whatever it brings.
+  struct Reading {
+    int count = 0, taken = 0, refused = 0;
+  };
+
+  DrawnFile Good() const { return {process_.config.dump(), true, process_.config, "good"}; }
+  void Write(DrawnFile file) {
+    on_disk_ = std::move(file);
+    process_.WriteConfig(on_disk_.text);
+  }
+
+  // The file was read once at least, `most` times at most, and judged as the page has it each time.
+  void Expect(const Reading& before, int most) {
+    if (in_force_.OnSignal(on_disk_)) timeline_.Set(Clock::now(), in_force_.classes());
+    const Reading now = Settled(before);
+    const int seen = now.count - before.count;
+    EXPECT_GE(seen, 1) << "it did not read its file";
+    EXPECT_LE(seen, most);
+    in_force_.OnSeveral(on_disk_, seen);
+    EXPECT_EQ(now.taken, in_force_.taken()) << "config_reloads, file: " << on_disk_.about;
+    EXPECT_EQ(now.refused, in_force_.refused()) << "config_reload_errors, file: " << on_disk_.about;
+  }
+  // Once it has read what it was told of, and no more comes.
+  Reading Settled(const Reading& before) const {
     const auto end = Clock::now() + seconds(20);
-    while (Reloads() == before && Clock::now() < end) std::this_thread::sleep_for(milliseconds(5));
-    EXPECT_GT(Reloads(), before) << "it did not read its file";
+    Reading now = LastReading();
+    while (now.count == before.count && Clock::now() < end) {
+      std::this_thread::sleep_for(milliseconds(5));
+      now = LastReading();
+    }
+    std::this_thread::sleep_for(milliseconds(100));
+    return LastReading();
   }
-  // Each SIGHUP is logged, whatever it brings.
-  std::size_t Reloads() const {
+  Reading LastReading() const {
     const std::string log = process_.log();
-    std::size_t count = 0;
-    for (std::size_t at = log.find(" config.read "); at != std::string::npos;
-         at = log.find(" config.read ", at + 1))
-      ++count;
-    return count;
+    const std::string mark = " config.read taken=";
+    Reading reading;
+    for (std::size_t at = log.find(mark); at != std::string::npos; at = log.find(mark, at + 1)) {
+      if (std::sscanf(log.c_str() + at, " config.read taken=%d refused=%d", &reading.taken,
+                      &reading.refused) == 2)
+        ++reading.count;
+    }
+    return reading;
   }
 
   NodeProcess process_;
   SettingsChanger changer_;
+  FileBreaker breaker_;
+  FilesInForce in_force_;
+  DrawnFile on_disk_;
   RuleTimeline timeline_;
   std::optional<SoakFaults> faults_;
   std::vector<Span> restarts_;
--- a/tests/soak_rules.h
+++ b/tests/soak_rules.h
@@ -56,22 +56,18 @@
   void Change(nlohmann::json& config) {
     const nlohmann::json before = config["settings"];
     auto& classes = config["settings"]["classes"];
-    switch (Draw(5)) {
+    switch (Draw(6)) {
       case 0:
       case 1: Shifting(classes)["effect"] = Effects()[static_cast<std::size_t>(Draw(2))]; break;
       case 2: Shifting(classes)["keyTtl"] = 1000.0 * (1 + 2 * Draw(2)); break;
       case 3: config["settings"]["caps"]["attemptsCap"] = 2 + Draw(10); break;
       case 4: GuestComesOrGoes(classes); break;
+      case 5: Shifting(classes)["deadline"] = 2000.0 + 1000.0 * Draw(8); break;
       default:
         if (!undo_.is_null()) config["settings"] = undo_;
     }
     undo_ = before;
   }
-  // The file cut off, or empty.
-  std::string Broken(const nlohmann::json& config) {
-    const std::string text = config.dump();
-    return Draw(1) == 0 ? "" : text.substr(0, text.size() * static_cast<std::size_t>(1 + Draw(7)) / 9);
-  }
 
  private:
   static const std::vector<std::string>& Effects() {
