List entries: what can't be read whole, or contradicts itself, drains its endpoint

Callers would see: a change with an odd entry of a listed endpoint (no health, an unknown one, an address or a destination that can't be read) left that endpoint ready, and it went on getting new messages; if the change had said Terminating, that was never learned, for the version moved on. A host named twice with two addresses or destinations was taken as its first entry said, so that calls could go where the other denies.

Cause: ReadMember's failed entries were skipped and nothing else (member_list.cpp); skipped meant "as before".

Change: an entry is taken whole or not at all, and what it meant to say is never filled in. A host that such an entry names, or of which two entries differ in address, site, class or destination, is `unsure`: the reducer tells the module that it drains, as it was listed. An entry without a host makes the news incomplete. The rest of the text is used at once; an incomplete change is followed by a request for the whole list, which sets all of it right. A whole list is used as it is, an unsure host in it is not listed, and it is not asked for again.

--- a/src/net/discovery.cpp
+++ b/src/net/discovery.cpp
@@ -139,9 +139,13 @@
     if (watching_) Lost("unreadable line");
     return;
   }
+  const bool incomplete = !news->whole && news->incomplete;
   version_ = news->version;
   Life();
   handler_->OnMembers(std::move(*news));
+  if (!incomplete || stream_ == nullptr) return;
+  version_.reset();
+  Lost("a change with an entry that can't be read");
 }
 
 // One that refuses may have too many callers: it is left alone for longer each time. A watch that ends may
--- a/src/net/member_list.h
+++ b/src/net/member_list.h
@@ -22,10 +22,14 @@
   std::uint64_t version = 0;
   bool whole = false;
   std::vector<Member> members;
+  // Hosts of which an entry can't be read whole, or of which two contradict each other: not among the
+  // members. What was said of them may have been that they drain.
+  std::vector<std::string> unsure;
+  bool incomplete = false;  // something that the text said is not known here: the whole list may tell
   std::vector<std::string> skipped;  // what could not be used, and why
 };
 
-// Nothing where the text as a whole is no such object. Entries that can't be used are skipped.
+// Nothing where the text as a whole is no such object. An entry is taken whole or not at all.
 std::optional<MemberNews> ParseMembers(std::string_view json);
 
 // Whether a JSON text is within an object, bytes at a time: an object may come indented, on several lines.
--- a/src/node/node_events.cpp
+++ b/src/node/node_events.cpp
@@ -50,6 +50,7 @@
   for (const std::string& skipped : news.skipped) log_.Write(base::kListSkipped, news.version, skipped);
   state::ListNews event;
   event.whole = news.whole;
+  event.unsure = std::move(news.unsure);
   for (net::Member& member : news.members) {
     state::Listed listed;
     listed.endpoint.id = std::move(member.host);
--- a/src/state/events.h
+++ b/src/state/events.h
@@ -44,6 +44,7 @@
 struct ListNews {
   std::vector<Listed> entries;
   bool whole = false;
+  std::vector<EndpointId> unsure = {};  // of which an entry could not be read: nothing new is sent there
 };
 struct ListLost {
   Micros outdated_from{0};  // unless a list comes before; Micros::max(): not by this
--- /dev/null
+++ b/src/state/list_news.h
@@ -0,0 +1,40 @@
+// News of discovery's list, taken into what is listed: what the module hears of it, and whose idle
+// connections close. A part of src/state/reducer.cpp.
+#pragma once
+
+#include <map>
+#include <utility>
+
+#include "state/effects.h"
+#include "state/events.h"
+
+namespace indigosaddle::state {
+
+using ListedById = std::map<EndpointId, Listed>;
+
+// Of an endpoint of which something unknown was said: it may have been that it drains.
+inline void TellUnsure(ListedById& listed, const EndpointId& id, TellList& told) {
+  const auto it = listed.find(id);
+  if (it == listed.end()) return;
+  it->second.endpoint.state = EndpointState::kDraining;
+  told.entries.push_back(it->second.endpoint);
+}
+
+inline void TakeList(ListedById& listed, const ListNews& news, Effects& effects) {
+  TellList told{{}, news.whole};
+  ListedById before = news.whole ? std::exchange(listed, {}) : ListedById();
+  for (const Listed& entry : news.entries) {
+    told.entries.push_back(entry.endpoint);
+    before.erase(entry.endpoint.id);
+    if (entry.endpoint.state != EndpointState::kGone) {
+      listed[entry.endpoint.id] = entry;
+    } else if (auto node = listed.extract(entry.endpoint.id); !node.empty()) {
+      before.insert(std::move(node));
+    }
+  }
+  for (const EndpointId& id : news.unsure) TellUnsure(listed, id, told);
+  for (const auto& [id, gone] : before) effects.emplace_back(CloseIdle{id});
+  effects.emplace_back(std::move(told));
+}
+
+}  // namespace indigosaddle::state
--- a/src/state/reducer.cpp
+++ b/src/state/reducer.cpp
@@ -6,6 +6,7 @@
 #include <utility>
 
 #include "state/ledger.h"
+#include "state/list_news.h"
 
 namespace indigosaddle::state {
 namespace {
@@ -82,22 +83,7 @@
     }
   }
 
-  void operator()(const ListNews& e) {
-    TellList told{{}, e.whole};
-    auto before = e.whole ? std::exchange(state_.listed, {}) : std::map<EndpointId, Listed>();
-    for (const Listed& entry : e.entries) {
-      told.entries.push_back(entry.endpoint);
-      before.erase(entry.endpoint.id);
-      if (entry.endpoint.state != EndpointState::kGone) {
-        state_.listed[entry.endpoint.id] = entry;
-      } else if (auto node = state_.listed.extract(entry.endpoint.id); !node.empty()) {
-        before.insert(std::move(node));
-      }
-    }
-    for (const auto& [id, gone] : before) effects_.emplace_back(CloseIdle{id});
-    effects_.emplace_back(std::move(told));
-  }
-
+  void operator()(const ListNews& e) { TakeList(state_.listed, e, effects_); }
   void operator()(const ListLost& e) { effects_.emplace_back(TellListLost{e.outdated_from}); }
 
   void operator()(const CallEnded& e) {
--- /dev/null
+++ b/tests/net_odd_watch_test.cpp
@@ -0,0 +1,85 @@
+// What discovery says that is not what was asked, or not known whole: the whole list is asked for, and until
+// one can be read the list counts as outdated in time.
+#include <gtest/gtest.h>
+
+#include <atomic>
+#include <chrono>
+#include <functional>
+#include <string>
+#include <vector>
+
+#include "net/discovery.h"
+#include "net/list_clock.h"
+#include "stand_ins.h"
+#include "watch_bytes.h"
+
+namespace indigosaddle::testing {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+std::string Said(int version, const char* whole, const std::string& hosts = "") {
+  return "{\"seq\":" + std::to_string(version) + ",\"whole\":" + whole + ",\"hosts\":[" + hosts + "]}\n";
+}
+std::string Body(const std::string& list) {
+  return "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(list.size()) + "\r\n\r\n" + list;
+}
+const std::string kOdd = R"({"host":"s-1","dial":"127.0.0.1:9","block":3,"health":"?"})";
+
+// Discovery by a script: the text of each whole list and of each watch's first line, by their number; the
+// last of each is said again.
+class OddWatch : public ::testing::Test, private net::Discovery::Handler {
+ protected:
+  void Run(std::vector<std::string> lists, std::vector<std::string> lines, const std::function<bool()>& over,
+           milliseconds patience = seconds(5)) {
+    HttpServer server([&, this](Socket& socket, const HttpRequest& request) {
+      const bool watch = request.line.find("watch=1") != std::string::npos;
+      std::atomic<int>& count = watch ? watches_ : lists_;
+      const std::vector<std::string>& said = watch ? lines : lists;
+      const std::string& text = said[std::min(static_cast<std::size_t>(count++), said.size() - 1)];
+      socket.Write(watch ? kWatchHead + Chunk(text) : Body(text));
+      return true;
+    });
+    net::Loop loop;
+    net::Discovery discovery(loop, *this, server.address(), net::PaceOfAsking(1, Micros(0)), 1);
+    discovery.Start();
+    const auto give_up = Clock::now() + patience;
+    net::Timer look(loop,
+                    [&] { over() || Clock::now() > give_up ? loop.Stop() : look.Start(milliseconds(5)); });
+    look.Start(milliseconds(5));
+    loop.Run();
+    server.Stop();
+  }
+
+  std::atomic<int> lists_{0}, watches_{0};
+  std::vector<net::MemberNews> news_;
+  Micros outdated_from_ = Micros::max();
+
+ private:
+  void OnMembers(net::MemberNews news) override { news_.push_back(std::move(news)); }
+  void OnWatchLost(std::string_view, Micros outdated_from) override { outdated_from_ = outdated_from; }
+};
+
+// A change with an entry that can't be read was taken for all that changed, and the list was never asked for.
+TEST_F(OddWatch, AChangeOfWhichAPartIsNotKnownIsFollowedByTheWholeList) {
+  Run({Said(41, "true"), Said(43, "true")}, {Said(42, "false", kOdd), Said(44, "false")},
+      [this] { return news_.size() >= 4; });
+  ASSERT_EQ(news_.size(), 4u);
+  EXPECT_EQ(news_[1].unsure, std::vector<std::string>{"s-1"});  // told at once
+  EXPECT_TRUE(news_[2].whole);
+  EXPECT_EQ(news_[3].version, 44u);
+  EXPECT_EQ(lists_, 2);
+}
+
+// A whole list has it all: an odd entry in it must not have the list asked for again and again.
+TEST_F(OddWatch, AWholeListWithAnOddEntryIsUsedAndNotAskedForAgain) {
+  Run(
+      {Said(41, "true", kOdd)}, {Said(42, "false")}, [] { return false; }, seconds(1));
+  ASSERT_EQ(news_.size(), 2u);
+  EXPECT_EQ(lists_, 1);
+  EXPECT_EQ(watches_, 1);
+}
+
+}  // namespace
+}  // namespace indigosaddle::testing
--- /dev/null
+++ b/tests/state_odd_list_test.cpp
@@ -0,0 +1,47 @@
+// List news of which a part is not known, and hosts that change their destination: what the module is told.
+#include <gtest/gtest.h>
+
+#include <string>
+#include <vector>
+
+#include "state_play.h"
+
+namespace indigosaddle::state {
+namespace {
+
+std::vector<std::string> Told(Play& play) {
+  std::vector<std::string> all;
+  for (const TellList& told : play.Fresh<TellList>()) {
+    for (const Endpoint& e : told.entries) {
+      all.push_back(e.id + " " + std::to_string(e.destination) + " " +
+                    (e.state == EndpointState::kReady      ? "ready"
+                     : e.state == EndpointState::kDraining ? "draining"
+                                                           : "gone"));
+    }
+  }
+  return all;
+}
+
+using Words = std::vector<std::string>;
+
+// Left as it was, an endpoint of which a change could not be read went on getting new messages.
+TEST(OddListNews, AKnownEndpointThatIsUnsureDrainsUntilItsNextEntry) {
+  Play play;
+  play.Event_(ListNews{{}, false, {"s-1", "never-listed"}});
+  EXPECT_EQ(Told(play), Words{"s-1 7 draining"});
+  play.Event_(ListNews{{}, false, {}});
+  EXPECT_EQ(Told(play), Words{});
+  play.Event_(ListNews{{{{"s-1", 3, 0, 7, EndpointState::kReady}, "127.0.0.1:1"}}, true, {}});
+  EXPECT_EQ(Told(play), Words{"s-1 7 ready"});
+}
+
+// In a whole list it is gone, as any that the list does not name.
+TEST(OddListNews, InAWholeListAnUnsureEndpointIsNotListed) {
+  Play play;
+  play.Event_(ListNews{{}, true, {"s-1"}});
+  EXPECT_EQ(Told(play), Words{});
+  EXPECT_EQ(play.state.listed.count("s-1"), 0u);
+}
+
+}  // namespace
+}  // namespace indigosaddle::state
