A listed share over 1e9 calls a second is no share

Callers would see: a destination whose entry says a share of 1e300 was let through its slow start with any number of calls.

Cause: any number not below zero was taken for what the destination surely bears (SureLimit), the largest too.

Change: a share counts from above zero to 1e9 calls a second, the bound of load reports; else it is not told, and the least holds.

Why it works: zero is the strictest reading there is of a share: SureLimit falls back to its least rate.

--- a/src/net/member_list.cpp
+++ b/src/net/member_list.cpp
@@ -15,6 +15,8 @@
 
 using nlohmann::json;
 
+constexpr double kMostShare = 1e9;  // calls a second: more is no rate
+
 std::string Text(const json& entry, const char* name) {
   const auto it = entry.find(name);
   return it != entry.end() && it->is_string() ? it->get<std::string>() : std::string();
@@ -30,7 +32,8 @@
 double ReadShare(const json& entry) {
   const auto share = entry.find("share");
   if (share == entry.end() || !share->is_number()) return 0;
-  return std::max(0.0, share->get<double>());
+  const double told = share->get<double>();
+  return told > 0 && told <= kMostShare ? told : 0;
 }
 
 std::optional<Health> ReadHealth(const json& entry) {
--- a/tests/net_odd_list_test.cpp
+++ b/tests/net_odd_list_test.cpp
@@ -107,6 +107,15 @@
   EXPECT_FALSE(news.incomplete);
 }
 
+// A share that is no calls a second was taken for what the destination surely bears, so that its slow start
+// let any number pass. Zero: not told, the least.
+TEST(OddList, AShareThatIsNoRateIsNotTold) {
+  EXPECT_EQ(Change(Entry()).members.at(0).share, 1.5);
+  for (const std::string odd : {"", "null", R"("9")", "-1", "-0.0", "[9]", "1e300", "1000000001"}) {
+    EXPECT_EQ(Change(Entry("share", odd)).members.at(0).share, 0) << odd;
+  }
+}
+
 // Nothing is decided by when an endpoint started: whatever stands there, the entry is used.
 TEST(OddList, WhenAnEndpointStartedDecidesNothing) {
   for (const std::string odd : {"", "null", "-1", R"("x")", "1e300"}) {
