An endpoint that changes its destination is gone from the old one

Callers would see: after a change that lists a known host with another block, messages for the old block still went to it. A change that says Gone with another block left it ready for the old one; messages chosen for it then stayed without a call.

Cause: the module keeps endpoints by destination and by id; only the new destination heard of the entry, unless the list was whole.

Change: the reducer knows where the host was listed, and tells first that it is gone from there (list_news.h).

Why it works: an entry that says Gone is how the module learns of any endpoint that no longer serves a destination.

Seen to fail before: OddListNews.AnEndpointThatChangesItsDestinationIsGoneFromTheOldOne.

--- a/src/state/list_news.h
+++ b/src/state/list_news.h
@@ -12,6 +12,14 @@
 
 using ListedById = std::map<EndpointId, Listed>;
 
+// The module knows an endpoint by its destination as well: one that has another now is gone from the old one.
+inline void TellMoved(const ListedById& listed, const Endpoint& now, TellList& told) {
+  const auto it = listed.find(now.id);
+  if (it == listed.end() || it->second.endpoint.destination == now.destination) return;
+  told.entries.push_back(it->second.endpoint);
+  told.entries.back().state = EndpointState::kGone;
+}
+
 // Of an endpoint of which something unknown was said: it may have been that it drains.
 inline void TellUnsure(ListedById& listed, const EndpointId& id, TellList& told) {
   const auto it = listed.find(id);
@@ -24,6 +32,7 @@
   TellList told{{}, news.whole};
   ListedById before = news.whole ? std::exchange(listed, {}) : ListedById();
   for (const Listed& entry : news.entries) {
+    TellMoved(listed, entry.endpoint, told);
     told.entries.push_back(entry.endpoint);
     before.erase(entry.endpoint.id);
     if (entry.endpoint.state != EndpointState::kGone) {
--- a/tests/state_odd_list_test.cpp
+++ b/tests/state_odd_list_test.cpp
@@ -43,5 +43,14 @@
   EXPECT_EQ(play.state.listed.count("s-1"), 0u);
 }
 
+// Told of its new destination alone, the module kept the endpoint ready for the old one's messages too.
+TEST(OddListNews, AnEndpointThatChangesItsDestinationIsGoneFromTheOldOne) {
+  Play play;
+  play.Event_(ListNews{{{{"s-1", 3, 0, 8, EndpointState::kReady}, "127.0.0.1:1"}}, false, {}});
+  EXPECT_EQ(Told(play), (Words{"s-1 7 gone", "s-1 8 ready"}));
+  play.Event_(ListNews{{{{"s-1", 3, 0, 9, EndpointState::kGone}, ""}}, false, {}});
+  EXPECT_EQ(Told(play), (Words{"s-1 8 gone", "s-1 9 gone"}));
+}
+
 }  // namespace
 }  // namespace indigosaddle::state
