Discovery: what can't be read, or is not what was asked for, confirms no list

Callers would see: (1) discovery that was reached and answered what can't be read, for however long, never outdated the list: the node went on sending by what it last knew, and drains were missed. (2) A line that can't be read even confirmed the list, as a sign of life. (3) A part, where the whole list was asked for, stood for the whole: what had been missed never came. (4) A change with a lower `seq` than the list's was used: it may say Ready of what drains since.

Cause: these were losses like a connection that ends (Loss::kEnded), or no losses; only a status other than 200 told the list's clock that discovery could be reached.

Change: Loss::kUnreadable runs the clock as a refusal does, and asks again as soon as before. A line is a sign of life once it is read. A part is used as the change that it is, and the whole list asked for again. An older change is not used.

A whole list may carry any version: a discovery that starts anew numbers anew.

--- a/src/net/discovery.cpp
+++ b/src/net/discovery.cpp
@@ -88,14 +88,14 @@
   if (reader_.head_done() && reader_.status() != 200)
     return Lost(fmt::format("status {}", reader_.status()), Loss::kRefused);
   if (!reader_.done()) {
-    if (!good) return Lost("unreadable");
+    if (!good) return Lost("unreadable", Loss::kUnreadable);
     if (reader_.head_done() && !answered_ && !std::exchange(headed_, true))
       silence_.Start(std::max(Micros(0), asked_at_ + std::max(patience_, kFirstLine) - loop_.Now()));
     return;
   }
   if (watching_) return Lost("the watch ended");
   Take(std::exchange(text_, {}));
-  if (!version_) return Lost("unreadable list");
+  if (!version_) return Lost("no whole list that can be read", Loss::kUnreadable);
   if (stream_ == nullptr) return;
   // On with the watch, on a connection of its own.
   buried_ = std::move(stream_);
@@ -123,29 +123,32 @@
       if (end == std::string_view::npos) break;
       bytes.remove_prefix(end + 1);
       if (nesting_.open()) continue;
-      Life();
       silence_.Start(kSilent);
       while (!text_.empty() && text_.back() == '\r') text_.pop_back();
-      if (!text_.empty()) Take(std::exchange(text_, {}));
+      text_.empty() ? Life() : Take(std::exchange(text_, {}));
     }
   }
-  if (text_.size() > kMostText && stream_ != nullptr) Lost("a list that is too long");
+  if (text_.size() > kMostText && stream_ != nullptr) Lost("a list that is too long", Loss::kUnreadable);
 }
 
 void Discovery::Take(std::string_view json) {
   std::optional<MemberNews> news = ParseMembers(json);
-  if (!news) {
+  const bool old = news && watching_ && !news->whole && news->version < *version_;
+  if (!news || old) {
     version_.reset();  // what was missed is in the whole list
-    if (watching_) Lost("unreadable line");
+    if (watching_) Lost(old ? "a change older than the list" : "unreadable line", Loss::kUnreadable);
     return;
   }
+  const bool follows = watching_ || news->whole;  // a part of the list is no whole one
   const bool incomplete = !news->whole && news->incomplete;
-  version_ = news->version;
-  Life();
+  if (follows) {
+    version_ = news->version;
+    Life();
+  }
   handler_->OnMembers(std::move(*news));
-  if (!incomplete || stream_ == nullptr) return;
+  if (!follows || !incomplete || stream_ == nullptr) return;
   version_.reset();
-  Lost("a change with an entry that can't be read");
+  Lost("a change with an entry that can't be read", Loss::kUnreadable);
 }
 
 // One that refuses may have too many callers: it is left alone for longer each time. A watch that ends may
@@ -158,6 +161,7 @@
     clock_.OnRefused();
     AskIn(refused_.Next());
   } else {
+    if (loss == Loss::kUnreadable) clock_.OnRefused();  // it was reached, and may have told of a change
     if (loss == Loss::kUnreached) {
       clock_.OnNoAnswer(asked_at_);
       patience_ = std::min(2 * patience_, kMostPatience);  // it may be slow, and is not to be asked the more
@@ -167,7 +171,7 @@
   handler_->OnWatchLost(reason, clock_.outdated_from());
 }
 
-// A whole line or list, and nothing less: bytes that complete nothing tell nothing.
+// A whole line or list that can be read, and nothing less: bytes that complete nothing tell nothing.
 void Discovery::Life() {
   answered_ = true;
   patience_ = first_patience_;
--- a/src/net/discovery.h
+++ b/src/net/discovery.h
@@ -44,10 +44,11 @@
   void OnBody(std::string_view bytes);
   void OnSilence();
   enum class Loss : std::uint8_t {
-    kEnded,      // by the other side, or unreadable
-    kSilent,     // after it had answered
-    kUnreached,  // no answer at all
-    kRefused,    // by its status
+    kEnded,       // by the other side
+    kUnreadable,  // or not what was asked for: as one that refuses, but asked again as soon
+    kSilent,      // after it had answered
+    kUnreached,   // no answer at all
+    kRefused,     // by its status
   };
   void Lost(std::string_view reason, Loss loss = Loss::kEnded);
   void Life();
--- a/src/net/list_clock.h
+++ b/src/net/list_clock.h
@@ -21,7 +21,7 @@
   void OnLife(Micros now) { sure_at_ = std::max(sure_at_, now), refused_ = false; }  // a whole line or list
   // A request that was begun at `asked` was not answered at all: discovery may have been out of reach then.
   void OnNoAnswer(Micros asked) { sure_at_ = std::max(sure_at_, asked); }
-  void OnRefused() { refused_ = true; }
+  void OnRefused() { refused_ = true; }  // or answered by what can't be read
   // From then on the list counts as outdated; Micros::max() while discovery has not been reached.
   Micros outdated_from() const { return refused_ ? sure_at_ + kToldAfter - kToldMargin : Micros::max(); }
 
--- a/tests/net_odd_watch_test.cpp
+++ b/tests/net_odd_watch_test.cpp
@@ -6,6 +6,7 @@
 #include <chrono>
 #include <functional>
 #include <string>
+#include <thread>
 #include <vector>
 
 #include "net/discovery.h"
@@ -38,10 +39,12 @@
       std::atomic<int>& count = watch ? watches_ : lists_;
       const std::vector<std::string>& said = watch ? lines : lists;
       const std::string& text = said[std::min(static_cast<std::size_t>(count++), said.size() - 1)];
+      if (watch) std::this_thread::sleep_for(before_line_);
       socket.Write(watch ? kWatchHead + Chunk(text) : Body(text));
       return true;
     });
     net::Loop loop;
+    now_ = [&] { return loop.Now(); };
     net::Discovery discovery(loop, *this, server.address(), net::PaceOfAsking(1, Micros(0)), 1);
     discovery.Start();
     const auto give_up = Clock::now() + patience;
@@ -54,11 +57,17 @@
 
   std::atomic<int> lists_{0}, watches_{0};
   std::vector<net::MemberNews> news_;
-  Micros outdated_from_ = Micros::max();
+  milliseconds before_line_{0};
+  Micros outdated_from_ = Micros::max(), listed_at_{0};
 
  private:
-  void OnMembers(net::MemberNews news) override { news_.push_back(std::move(news)); }
+  void OnMembers(net::MemberNews news) override {
+    news_.push_back(std::move(news));
+    listed_at_ = now_();
+  }
   void OnWatchLost(std::string_view, Micros outdated_from) override { outdated_from_ = outdated_from; }
+
+  std::function<Micros()> now_;
 };
 
 // A change with an entry that can't be read was taken for all that changed, and the list was never asked for.
@@ -81,5 +90,37 @@
   EXPECT_EQ(watches_, 1);
 }
 
+// An older change than the list that is held was used: it may say Ready of what drains since.
+TEST_F(OddWatch, AChangeThatIsOlderThanTheListIsNotUsed) {
+  Run({Said(41, "true"), Said(43, "true")}, {Said(40, "false"), Said(44, "false")},
+      [this] { return news_.size() >= 3; });
+  ASSERT_GE(news_.size(), 3u);
+  EXPECT_EQ(news_[1].version, 43u);
+  EXPECT_EQ(news_[2].version, 44u);
+}
+
+// A part, where the whole list was asked for, was taken for the whole: what changed before it never came.
+TEST_F(OddWatch, APartWhereTheWholeListWasAskedForIsNotTheWhole) {
+  Run({Said(41, "false"), Said(42, "true")}, {Said(43, "false")}, [this] { return watches_ > 0; });
+  EXPECT_EQ(lists_, 2);
+  ASSERT_GE(news_.size(), 2u);
+  EXPECT_TRUE(news_[1].whole);
+}
+
+// Discovery that answers what can't be read was taken for one out of reach: the list never counted as
+// outdated, and drains were missed for as long as that lasted.
+TEST_F(OddWatch, AListThatStaysUnreadableIsOutdatedInTime) {
+  Run({Said(41, "true"), "rubbish"}, {"rubbish\n"}, [this] { return lists_ >= 3; });
+  EXPECT_LT(outdated_from_, Micros::max());
+  EXPECT_EQ(news_.size(), 1u);
+}
+
+// A line that can't be read confirmed the list that it may have changed: the list counted as sure until then.
+TEST_F(OddWatch, ALineThatCantBeReadConfirmsNothing) {
+  before_line_ = milliseconds(800);
+  Run({Said(41, "true"), "rubbish"}, {"rubbish\n"}, [this] { return outdated_from_ < Micros::max(); });
+  EXPECT_LT(outdated_from_, listed_at_ + net::kToldAfter);
+}
+
 }  // namespace
 }  // namespace indigosaddle::testing
