Told waits: one that can't be read is a second, and of two the longest holds

Callers would see: a 429 whose X-Retry-In-Ms is absent, empty, negative or no number was taken for one without a wait, and the destination was called again at once. Of two such headers the last held: `5000`, then `0`, told none.

Cause: ParseNumber(...).value_or(0) in call_connection.h, and a map of headers in which a line took the place of the one before.

Change: HttpReader joins the values of lines of one name. ParseWait reads all that is told and takes the longest; a part that can't be read counts for kUnreadableWait, 1 s. A 429 always tells a wait. A 503 tells one where it has the header, as before; the bound of 1e9 ms stays. An X-No-Slot that comes twice is not the mark `1`: the call counts as turned away, which judges the destination.

Why it works: a wait of zero is only what an answer says in so many words; and an odd answer holds a destination for a second.

Seen to fail before: OddWait.AWaitThatCantBeReadIsNotNone, OfSeveralTheLongestIsHeeded, OddHeader.AHeaderThatComesTwiceIsReadWithAllItSays, OddAnswer.A429AlwaysTellsAWait, A503TellsTheWaitThatItHas, AnOddNoSlotMarkIsNone. OddWait.AGoodOneIsHeededWhateverItsSize and OddReport.APartIsNoWhole passed before.

--- a/src/net/call_connection.h
+++ b/src/net/call_connection.h
@@ -18,7 +18,6 @@
 constexpr std::size_t kMostAnswerBody = std::size_t{64} * 1024;
 // An answer that has begun comes whole within so long, or is taken for what has come of it.
 constexpr Micros kAnswerPatience = std::chrono::milliseconds(500);
-constexpr double kMostWaitMillis = 1e9;
 }  // namespace call
 
 class CallPool::Connection : public Stream::Listener {
@@ -184,11 +183,10 @@
 
   void Answered(After after) {
     CallResult result = Result_(state::EndingOf(reader_.status(), reader_.header("x-no-slot") == "1"));
-    if (result.ending == state::Ending::kToldToWait || result.ending == state::Ending::kTurnedAway) {
-      const double millis = ParseNumber(reader_.header("x-retry-in-ms")).value_or(0);
-      result.wait = std::chrono::duration_cast<Micros>(
-          std::chrono::duration<double, std::milli>(std::clamp(millis, 0.0, call::kMostWaitMillis)));
-    }
+    // A 429 tells a wait, whether or not it can be read.
+    const bool tells = result.ending == state::Ending::kToldToWait ||
+                       (result.ending == state::Ending::kTurnedAway && reader_.has("x-retry-in-ms"));
+    if (tells) result.wait = ParseWait(reader_.header("x-retry-in-ms"));
     result.load = ParseLoad(reader_.header("endpoint-load-metrics"));
     pool_.Finished(*this, result, after);
   }
--- a/src/net/call_format.cpp
+++ b/src/net/call_format.cpp
@@ -11,6 +11,12 @@
 namespace {
 
 constexpr double kMostReported = 1e9;  // of a load report's figures: more is rubbish
+constexpr double kMostWaitMillis = 1e9;
+
+Micros ToWait(double millis) {
+  return std::chrono::duration_cast<Micros>(
+      std::chrono::duration<double, std::milli>(std::min(millis, kMostWaitMillis)));
+}
 
 }  // namespace
 
@@ -34,6 +40,18 @@
   return text += request.body;
 }
 
+Micros ParseWait(std::string_view text) {
+  Micros longest(0);
+  for (bool more = true; more;) {
+    const std::size_t comma = text.find(',');
+    const auto millis = ParseNumber(text.substr(0, comma));
+    longest = std::max(longest, millis && *millis >= 0 ? ToWait(*millis) : kUnreadableWait);
+    more = comma != std::string_view::npos;
+    if (more) text.remove_prefix(comma + 1);
+  }
+  return longest;
+}
+
 LoadReport ParseLoad(std::string_view text) {
   LoadReport report;
   while (!text.empty()) {
--- a/src/net/http_reader.cpp
+++ b/src/net/http_reader.cpp
@@ -47,9 +47,7 @@
     };
     s.on_header_field = [](http_parser* p, const char* at, std::size_t size) {
       HttpReader& self = Of(p);
-      if (std::exchange(self.in_value_, false)) {
-        self.headers_[std::exchange(self.name_, {})] = std::exchange(self.value_, {});
-      }
+      if (self.in_value_) self.TakeHeader();
       for (char c : std::string_view(at, size)) {
         self.name_ += c >= 'A' && c <= 'Z' ? static_cast<char>(c - 'A' + 'a') : c;
       }
@@ -63,10 +61,7 @@
     };
     s.on_headers_complete = [](http_parser* p) {
       HttpReader& self = Of(p);
-      if (self.in_value_) self.headers_[self.name_] = self.value_;
-      self.in_value_ = false;
-      self.name_.clear();
-      self.value_.clear();
+      if (self.in_value_) self.TakeHeader();
       if (Informational(p->status_code)) return 0;
       self.status_ = static_cast<int>(p->status_code);  // a first line may lack its phrase
       self.head_done_ = true;
@@ -99,6 +94,13 @@
   return settings;
 }
 
+void HttpReader::TakeHeader() {
+  const auto [at, first] = headers_.try_emplace(std::exchange(name_, {}));
+  if (!first) at->second += ", ";
+  at->second += std::exchange(value_, {});
+  in_value_ = false;
+}
+
 // A first line tells nothing before its end has come: one that breaks off may say anything.
 bool HttpReader::Take(std::string_view bytes) {
   while (status_ == 0 && !done_ && !bytes.empty()) {
--- a/src/net/http_reader.h
+++ b/src/net/http_reader.h
@@ -29,6 +29,8 @@
   bool done() const { return done_; }
   bool keep_alive() const { return keep_alive_; }
   bool ends_with_connection() const { return ends_with_connection_; }  // no length told; after head_done
+  bool has(const std::string& lower_name) const { return headers_.contains(lower_name); }
+  // Empty where it has none; the values of several lines are joined by ", ".
   std::string_view header(const std::string& lower_name) const;
 
  private:
@@ -36,6 +38,7 @@
   static const http_parser_settings& Callbacks();
   bool CountHead(std::size_t bytes);
   bool Feed(std::string_view bytes);
+  void TakeHeader();
 
   http_parser parser_{};
   std::size_t most_body_;
--- /dev/null
+++ b/tests/call_pool_odd_answer_test.cpp
@@ -0,0 +1,52 @@
+// What a call's result says of an answer whose head lacks a part or has an odd one.
+#include <gtest/gtest.h>
+
+#include <string>
+
+#include "call_endings.h"
+#include "net/call_format.h"
+
+namespace indigosaddle::testing {
+namespace {
+
+class OddAnswer : public CallEndings {
+ protected:
+  net::CallResult To(const std::string& line, const std::string& headers) {
+    Start();
+    Socket socket = Accept();
+    EXPECT_TRUE(socket.Write("HTTP/1.1 " + line + "\r\n" + headers + "Content-Length: 0\r\n\r\n"));
+    RunToAnEnd();
+    return results.back();
+  }
+};
+
+// A 429 says to wait. Where it does not say how long, it was called again at once.
+TEST_F(OddAnswer, A429AlwaysTellsAWait) {
+  for (const std::string odd :
+       {"", "X-Retry-In-Ms:\r\n", "X-Retry-In-Ms: soon\r\n", "X-Retry-In-Ms: -1\r\n", "X-Retry-In: 5\r\n"}) {
+    const net::CallResult result = To("429 Full", odd);
+    EXPECT_EQ(result.ending, Ending::kToldToWait) << odd;
+    EXPECT_EQ(result.wait, net::kUnreadableWait) << odd;
+  }
+  EXPECT_EQ(To("429 Full", "X-Retry-In-Ms: 0\r\n").wait, Micros(0));
+  EXPECT_EQ(To("429 Full", "X-Retry-In-Ms: 5000\r\nX-Retry-In-Ms: 0\r\n").wait, seconds(5));
+}
+
+// A 503 tells a wait only where it has one.
+TEST_F(OddAnswer, A503TellsTheWaitThatItHas) {
+  EXPECT_EQ(To("503 Full", "").wait, Micros(0));
+  EXPECT_EQ(To("503 Full", "X-Retry-In-Ms: 250\r\n").wait, milliseconds(250));
+  EXPECT_EQ(To("503 Full", "X-Retry-In-Ms: soon\r\n").wait, net::kUnreadableWait);
+  EXPECT_EQ(To("503 Full", "X-Retry-In-Ms:\r\n").wait, net::kUnreadableWait);
+}
+
+// Only the mark itself says that a call was not sent for want of a slot; else the endpoint turned it away.
+TEST_F(OddAnswer, AnOddNoSlotMarkIsNone) {
+  EXPECT_EQ(To("503 Full", "X-No-Slot: 1\r\n").ending, Ending::kNoSlot);
+  for (const std::string odd : {"X-No-Slot: 0\r\n", "X-No-Slot:\r\n", "X-No-Slot: yes\r\n",
+                                "X-No-Slot: 11\r\n", "X-No-Slot: 0\r\nX-No-Slot: 1\r\n"})
+    EXPECT_EQ(To("503 Full", odd).ending, Ending::kTurnedAway) << odd;
+}
+
+}  // namespace
+}  // namespace indigosaddle::testing
--- /dev/null
+++ b/tests/net_odd_answer_test.cpp
@@ -0,0 +1,68 @@
+// Heads of partners' answers that lack a part, have an odd one, or say one thing twice. No sockets.
+#include <gtest/gtest.h>
+
+#include <chrono>
+#include <string>
+
+#include "net/call_format.h"
+#include "net/http_reader.h"
+
+namespace indigosaddle::net {
+namespace {
+
+using std::chrono::milliseconds;
+
+// A wait that was told, but can't be read, was taken for none, and the destination was called again at once.
+TEST(OddWait, AWaitThatCantBeReadIsNotNone) {
+  for (const char* odd :
+       {"", "  ", "abc", "-5", "nan", "inf", "-inf", "1e999", "5s", "0x10", "5 5", "soon,", ",", "--1"})
+    EXPECT_EQ(ParseWait(odd), kUnreadableWait) << odd;
+}
+
+TEST(OddWait, AGoodOneIsHeededWhateverItsSize) {
+  EXPECT_EQ(ParseWait("0"), Micros(0));
+  EXPECT_EQ(ParseWait(" 250 "), milliseconds(250));
+  EXPECT_EQ(ParseWait("0.5"), Micros(500));
+  EXPECT_EQ(ParseWait("60000"), milliseconds(60000));
+  EXPECT_EQ(ParseWait("1e300"), milliseconds(1'000'000'000));  // as long as a wait may be
+}
+
+// Of two waits the last was heeded, however short.
+TEST(OddWait, OfSeveralTheLongestIsHeeded) {
+  EXPECT_EQ(ParseWait("5000, 0"), milliseconds(5000));
+  EXPECT_EQ(ParseWait("0, 5000"), milliseconds(5000));
+  EXPECT_EQ(ParseWait("5000, abc"), milliseconds(5000));
+  EXPECT_EQ(ParseWait("5, abc"), kUnreadableWait);
+}
+
+// The last line of a header stood for all.
+TEST(OddHeader, AHeaderThatComesTwiceIsReadWithAllItSays) {
+  HttpReader reader(10);
+  ASSERT_TRUE(
+      reader.Take("HTTP/1.1 429 Full\r\nX-Retry-In-Ms: 5000\r\nA: b\r\nx-retry-in-ms: 0\r\nX-No-Slot: \r\n"
+                  "Content-Length: 0\r\n\r\n"));
+  EXPECT_EQ(reader.header("x-retry-in-ms"), "5000, 0");
+  EXPECT_EQ(reader.header("a"), "b");
+  EXPECT_EQ(reader.header("x-no-slot"), "");
+  EXPECT_TRUE(reader.has("x-no-slot"));
+  EXPECT_FALSE(reader.has("x-none"));
+  reader.Reset();
+  ASSERT_TRUE(reader.Take("HTTP/1.1 200 OK\r\nA: c\r\nContent-Length: 0\r\n\r\n"));
+  EXPECT_EQ(reader.header("a"), "c");
+}
+
+// A report in part tells its part and nothing more; one of which a part can't be read tells nothing.
+TEST(OddReport, APartIsNoWhole) {
+  EXPECT_EQ(ParseLoad("x0=0.4").left, 0.4);
+  EXPECT_EQ(ParseLoad("x0=0.4").limit, -1);
+  EXPECT_EQ(ParseLoad("x1=25").left, -1);
+  EXPECT_EQ(ParseLoad("x1=25").limit, 25);
+  for (const char* odd : {"x0=0.4,x1=", "x0=0.4,x1=-25", "x0=0.4,x1=2e9", "x0=0.4,x1=25;", "x0=-1,x1=25",
+                          "x0=0.4,x1", "x0=0.4,x1=inf"}) {
+    EXPECT_EQ(ParseLoad(odd).left, -1) << odd;
+    EXPECT_EQ(ParseLoad(odd).limit, -1) << odd;
+  }
+}
+
+}  // namespace
+}  // namespace indigosaddle::net
