Load reports: one that says a thing twice is not believed

Callers would see: `x0=0.4,x1=25,x1=1000`, in one header or in two, set the destination's limit to 1000, which its slow start takes for what it surely bears.

Cause: ParseLoad kept the last.

Change: a part that is given twice makes the report one that can't be read, as any odd part does: nothing of it is believed.

Why it works: without a report the limit that was known holds, and a refusal is not explained by a limit in use.

Seen to fail before: OddReport.AReportThatContradictsItselfIsNotBelieved.

--- a/src/net/call_format.cpp
+++ b/src/net/call_format.cpp
@@ -53,7 +53,7 @@
 }
 
 LoadReport ParseLoad(std::string_view text) {
-  LoadReport report;
+  std::optional<double> left, limit;
   while (!text.empty()) {
     const std::size_t comma = text.find(',');
     std::string_view pair = text.substr(0, comma);
@@ -63,9 +63,15 @@
     if (equals == std::string_view::npos) return {};
     const auto value = ParseNumber(pair.substr(equals + 1));
     if (!value || *value < 0 || *value > kMostReported) return {};
-    if (pair.substr(0, equals) == "x0") report.left = *value;
-    if (pair.substr(0, equals) == "x1") report.limit = *value;
+    const std::string_view name = pair.substr(0, equals);
+    std::optional<double>* const place = name == "x0" ? &left : name == "x1" ? &limit : nullptr;
+    if (place == nullptr) continue;
+    if (place->has_value()) return {};
+    *place = value;
   }
+  LoadReport report;
+  report.left = left.value_or(report.left);
+  report.limit = limit.value_or(report.limit);
   return report;
 }
 
--- a/src/net/call_format.h
+++ b/src/net/call_format.h
@@ -18,7 +18,8 @@
 };
 
 std::string FormatCall(const CallRequest& request);
-LoadReport ParseLoad(std::string_view text);  // with a part that can't be read: not believed in any
+LoadReport ParseLoad(
+    std::string_view text);  // with a part that can't be read, or one given twice: not believed in any
 // The longest of the waits that a header tells. Where one of them can't be read, kUnreadableWait at the
 // least: that one was told to wait is sure, and an odd answer stops no destination for long.
 Micros ParseWait(std::string_view text);
--- a/tests/net_odd_answer_test.cpp
+++ b/tests/net_odd_answer_test.cpp
@@ -51,6 +51,14 @@
   EXPECT_EQ(reader.header("a"), "c");
 }
 
+// A report that says one thing twice was believed in its last: a limit that may be the larger of two.
+TEST(OddReport, AReportThatContradictsItselfIsNotBelieved) {
+  for (const char* odd : {"x0=0.4,x1=25,x1=1000", "x0=0.4,x1=25, x0=0.9,x1=25", "x1=25,x1=25"}) {
+    EXPECT_EQ(ParseLoad(odd).left, -1) << odd;
+    EXPECT_EQ(ParseLoad(odd).limit, -1) << odd;
+  }
+}
+
 // A report in part tells its part and nothing more; one of which a part can't be read tells nothing.
 TEST(OddReport, APartIsNoWhole) {
   EXPECT_EQ(ParseLoad("x0=0.4").left, 0.4);
