HTTP answers: a status that is not three digits is no answer

Callers would see: a first line `HTTP/1.1 0200 OK` was taken for a delivery; its message was over, whatever the call had done.

Cause: http-parser takes zeros in front of a status, and any number of digits up to three that count.

Change: HttpReader looks at the first line itself once it is whole: three digits, the first no zero. Else the answer can't be read.

Why it works: an answer that can't be read is an attempt that may have run, and the message stays owed. Calls, lists and notices are read by the one reader.

Seen to fail before: OddStatus.AStatusThatIsNotThreeDigitsIsNoAnswer, OddAnswer.AStatusThatIsNotThreeDigitsMayHaveRun.

--- a/src/net/http_reader.cpp
+++ b/src/net/http_reader.cpp
@@ -1,5 +1,6 @@
 #include "net/http_reader.h"
 
+#include <algorithm>
 #include <cstdint>
 #include <limits>
 #include <utility>
@@ -8,6 +9,15 @@
 namespace {
 
 constexpr std::size_t kMostHead = std::size_t{16} * 1024;
+constexpr std::size_t kStatusDigits = 3;
+
+// Whether a first line has a status of three digits, no more and no fewer: the parser takes zeros in front.
+bool HasStatus(std::string_view line) {
+  line.remove_prefix(std::min(line.find(' '), line.size()));
+  line.remove_prefix(std::min(line.find_first_not_of(' '), line.size()));
+  const std::size_t digits = line.substr(0, line.find_first_of(" \r\n")).size();
+  return digits == kStatusDigits && line.front() != '0';
+}
 
 bool Informational(unsigned status) { return status >= 100 && status < 200; }
 
@@ -22,7 +32,9 @@
   http_parser_init(&parser_, HTTP_RESPONSE);
   parser_.data = this;
   status_ = 0;
-  begun_ = head_done_ = done_ = keep_alive_ = ends_with_connection_ = in_value_ = false;
+  begun_ = head_done_ = done_ = keep_alive_ = ends_with_connection_ = in_value_ = line_done_ = broken_ =
+      false;
+  line_.clear();
   head_bytes_ = body_bytes_ = 0;
   name_.clear();
   value_.clear();
@@ -82,7 +94,8 @@
       HttpReader& self = Of(p);
       if (Informational(p->status_code)) {
         self.headers_.clear();
-        self.begun_ = false;
+        self.line_.clear();
+        self.begun_ = self.line_done_ = false;
         return 0;
       }
       self.done_ = true;
@@ -106,15 +119,25 @@
   while (status_ == 0 && !done_ && !bytes.empty()) {
     const std::string_view line = bytes.substr(0, bytes.find('\n') + 1);  // npos + 1 is no byte
     const std::string_view piece = line.empty() ? bytes : line;
-    if (!Feed(piece)) return false;
+    if (!Feed(piece) || !TakeLine(piece, !line.empty())) return false;
     bytes.remove_prefix(piece.size());
-    if (!line.empty() && begun_ && !Informational(parser_.status_code))
-      status_ = static_cast<int>(parser_.status_code);
   }
   return bytes.empty() || Feed(bytes);
 }
 
+// A piece of a line that has been fed: of the first one, the status is taken at its end.
+bool HttpReader::TakeLine(std::string_view piece, bool ends) {
+  if (!begun_ || line_done_ || broken_) return !broken_;
+  line_ += piece;
+  if (!ends) return true;
+  line_done_ = true;
+  broken_ = !HasStatus(line_);
+  if (!broken_ && !Informational(parser_.status_code)) status_ = static_cast<int>(parser_.status_code);
+  return !broken_;
+}
+
 bool HttpReader::Feed(std::string_view bytes) {
+  if (broken_) return false;
   if (done_) return bytes.empty();
   const std::size_t taken = http_parser_execute(&parser_, &Callbacks(), bytes.data(), bytes.size());
   const http_errno error = HTTP_PARSER_ERRNO(&parser_);
@@ -124,7 +147,7 @@
 }
 
 void HttpReader::TakeEnd() {
-  if (!done_) http_parser_execute(&parser_, &Callbacks(), nullptr, 0);
+  if (!done_ && !broken_) http_parser_execute(&parser_, &Callbacks(), nullptr, 0);
 }
 
 std::string_view HttpReader::header(const std::string& lower_name) const {
--- a/src/net/http_reader.h
+++ b/src/net/http_reader.h
@@ -37,6 +37,7 @@
   static HttpReader& Of(http_parser* parser) { return *static_cast<HttpReader*>(parser->data); }
   static const http_parser_settings& Callbacks();
   bool CountHead(std::size_t bytes);
+  bool TakeLine(std::string_view piece, bool ends);
   bool Feed(std::string_view bytes);
   void TakeHeader();
 
@@ -45,8 +46,9 @@
   std::function<void(std::string_view)> on_body_;
   int status_ = 0;
   bool begun_ = false, head_done_ = false, done_ = false, keep_alive_ = false, ends_with_connection_ = false,
-       in_value_ = false;
+       in_value_ = false, line_done_ = false, broken_ = false;
   std::size_t head_bytes_ = 0, body_bytes_ = 0;
+  std::string line_;  // the first, so far
   std::string name_, value_;
   std::map<std::string, std::string> headers_;  // names in lower case
 };
--- a/tests/call_pool_odd_answer_test.cpp
+++ b/tests/call_pool_odd_answer_test.cpp
@@ -48,5 +48,14 @@
     EXPECT_EQ(To("503 Full", odd).ending, Ending::kTurnedAway) << odd;
 }
 
+// Taken for a 200, a message whose call may have failed was over.
+TEST_F(OddAnswer, AStatusThatIsNotThreeDigitsMayHaveRun) {
+  for (const std::string odd : {"0200 OK", "00200 OK", "20 0", "2", "2000"}) {
+    const Ending ending = To(odd, "").ending;
+    EXPECT_NE(ending, Ending::kDelivered) << odd;
+    EXPECT_TRUE(state::MayHaveRun(state::MeaningOf(ending).result)) << odd;
+  }
+}
+
 }  // namespace
 }  // namespace indigosaddle::testing
--- a/tests/net_odd_answer_test.cpp
+++ b/tests/net_odd_answer_test.cpp
@@ -72,5 +72,20 @@
   }
 }
 
+// A status is three digits. One with zeros in front was taken for a delivery.
+TEST(OddStatus, AStatusThatIsNotThreeDigitsIsNoAnswer) {
+  for (const std::string line : {"HTTP/1.1 0200 OK", "HTTP/1.1 00200", "HTTP/1.1 20 0", "HTTP/1.1 2",
+                                 "HTTP/1.1 99 x", "HTTP/1.1 0100 C", "HTTP/1.1 2000", "HTTP/1.1 -200"}) {
+    HttpReader whole(10), split(10);
+    EXPECT_FALSE(whole.Take(line + "\r\nContent-Length: 0\r\n\r\n")) << line;
+    EXPECT_NE(whole.status(), 200) << line;
+    bool good = true;
+    for (const char c : line + "\r\nContent-Length: 0\r\n\r\n")
+      good = good && split.Take(std::string_view(&c, 1));
+    EXPECT_FALSE(good) << line;
+    EXPECT_NE(split.status(), 200) << line;
+  }
+}
+
 }  // namespace
 }  // namespace indigosaddle::net
