ENQUEUE: names are read once, and what is odd is never the looser of two

Callers would see: of a name given twice the last held (`c=unsafe,c=safe`, two times, two destinations, two keys). An `r` or `again` that is not `1` (`true`, empty) was no mark, so that the message counted as younger than it may be, and rules that no longer hold bound it no more. An empty first word was taken for the zeros that mean no order key. Of a first word and a `thread` that differ the second held.

Cause: ParseEnqueue wrote each pair into the result as it came.

Change: one reader takes each known name once into an optional, then the values are read from the whole. A name given twice, an empty key and two order keys that differ are refused with -ERR, as other malformed commands are; nothing is sent for them. A mark means yes unless it says 0. Names that the node does not know may come as they like.

Why it works: a value is there, once and readable, or the command is refused and its client told so at once.

Seen to fail before: OddCommand.ANameThatIsGivenTwiceIsRefused, AMarkOfAnEarlierHandInIsReadAsOneUnlessItSaysNo, AnEmptyKeyIsNotNone, TwoOrderKeysThatDifferAreRefused. OddCommand.AbsentAndOddValuesAreRefused passed before. After: net_test 57, resp_server_test 8, all passed.

--- a/src/net/resp.cpp
+++ b/src/net/resp.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <charconv>
+#include <optional>
 #include <utility>
 
 namespace indigosaddle::net {
@@ -25,6 +26,74 @@
          std::all_of(text.begin(), text.end(), [](char c) { return c > ' ' && c < 0x7f; });
 }
 
+// The names that an ENQUEUE may give, each once or not at all, with their values as they came.
+struct Names {
+  std::optional<std::string_view> message_class, tenant, key, thread, time_left, marked, again, destination;
+
+  std::optional<std::string_view>* Find(std::string_view name) {
+    if (name == "c") return &message_class;
+    if (name == "t") return &tenant;
+    if (name == "k") return &key;
+    if (name == "thread") return &thread;
+    if (name == "d") return &time_left;
+    if (name == "r") return &marked;
+    if (name == "again") return &again;
+    if (name == "dest") return &destination;
+    return nullptr;  // other names are for others
+  }
+};
+
+// Each of these is empty where all is well, else what is wrong.
+std::string ReadNames(std::string_view rest, Names& names) {
+  while (!rest.empty()) {
+    const std::size_t comma = rest.find(',');
+    const std::string_view pair = rest.substr(0, comma);
+    rest.remove_prefix(comma == std::string_view::npos ? rest.size() : comma + 1);
+    const std::size_t equals = pair.find('=');
+    if (equals == std::string_view::npos) return "a name without a value";
+    const std::string_view name = pair.substr(0, equals);
+    std::optional<std::string_view>* const value = names.Find(name);
+    if (value == nullptr) continue;
+    if (value->has_value()) return std::string(name) + " is given twice";
+    *value = pair.substr(equals + 1);
+  }
+  return {};
+}
+
+// Of the order, where the class has one; zeros: none.
+std::string ReadOrderKey(const std::string& first_word, const Names& names, Enqueue& out) {
+  if (first_word.empty()) return "the key is empty";
+  if (first_word.find_first_not_of('0') != std::string::npos) {
+    if (!IsName(first_word)) return "the key is too long, or not visible ASCII";
+    out.order_key = first_word;
+  }
+  if (!names.thread) return {};
+  if (!IsName(*names.thread)) return "thread is empty, too long, or not visible ASCII";
+  if (!out.order_key.empty() && out.order_key != *names.thread) return "the key and thread differ";
+  out.order_key = *names.thread;
+  return {};
+}
+
+// A mark of an earlier hand-in; only 0 says that there was none.
+bool IsMarked(const std::optional<std::string_view>& mark) { return mark && *mark != "0"; }
+
+std::string ReadValues(const Names& names, Enqueue& out) {
+  if (!names.message_class || names.message_class->empty()) return "c is missing";
+  out.message_class = *names.message_class;
+  out.tenant = names.tenant.value_or("");
+  if (names.key && !IsName(*names.key)) return "k is empty, too long, or not visible ASCII";
+  out.idempotency_key = names.key.value_or("");
+  double millis = 0;
+  if (!names.time_left) return "d is missing";
+  if (!ParseNumber(*names.time_left, millis) || !(millis >= 0 && millis <= kMostMillis))
+    return "d is no time";
+  out.time_left = std::chrono::duration_cast<Micros>(std::chrono::duration<double, std::milli>(millis));
+  if (!names.destination) return "dest is missing";
+  if (!ParseNumber(*names.destination, out.destination)) return "dest is no number";
+  out.handed_in_before = IsMarked(names.marked) || IsMarked(names.again);
+  return {};
+}
+
 }  // namespace
 
 RespReader::Status RespReader::Break(std::string trouble) {
@@ -103,50 +172,14 @@
 
 std::string ParseEnqueue(const std::vector<std::string>& command, Enqueue& out) {
   if (command.size() != 5) return "ENQUEUE takes a key, an id, a list of names and values, and a body";
-  const std::string& key = command[1];  // of the order, where the class has one; zeros: none
-  if (key.find_first_not_of('0') != std::string::npos) {
-    if (!IsName(key)) return "the key is too long, or not visible ASCII";
-    out.order_key = key;
-  }
   out.id = command[2];
   if (!IsName(out.id)) return "the id is empty, too long, or not visible ASCII";
-  bool has_class = false, has_left = false, has_destination = false;
-  std::string_view rest = command[3];
-  while (!rest.empty()) {
-    const std::size_t comma = rest.find(',');
-    const std::string_view pair = rest.substr(0, comma);
-    rest.remove_prefix(comma == std::string_view::npos ? rest.size() : comma + 1);
-    const std::size_t equals = pair.find('=');
-    if (equals == std::string_view::npos) return "a name without a value";
-    const std::string_view name = pair.substr(0, equals), value = pair.substr(equals + 1);
-    if (name == "c") {
-      has_class = !value.empty();
-      out.message_class = value;
-    } else if (name == "t") {
-      out.tenant = value;
-    } else if (name == "k") {
-      if (!IsName(value)) return "k is empty, too long, or not visible ASCII";
-      out.idempotency_key = value;
-    } else if (name == "thread") {
-      if (!IsName(value)) return "thread is empty, too long, or not visible ASCII";
-      out.order_key = value;
-    } else if (name == "d") {
-      double millis = 0;
-      if (!ParseNumber(value, millis) || !(millis >= 0 && millis <= kMostMillis)) return "d is no time";
-      out.time_left = std::chrono::duration_cast<Micros>(std::chrono::duration<double, std::milli>(millis));
-      has_left = true;
-    } else if (name == "r" || name == "again") {
-      out.handed_in_before |= value == "1";
-    } else if (name == "dest") {
-      if (!ParseNumber(value, out.destination)) return "dest is no number";
-      has_destination = true;
-    }  // other names are for others
-  }
-  if (!has_class) return "c is missing";
-  if (!has_left) return "d is missing";
-  if (!has_destination) return "dest is missing";
-  out.body = command[4];
-  return {};
+  Names names;
+  std::string trouble = ReadNames(command[3], names);
+  if (trouble.empty()) trouble = ReadOrderKey(command[1], names, out);
+  if (trouble.empty()) trouble = ReadValues(names, out);
+  if (trouble.empty()) out.body = command[4];
+  return trouble;
 }
 
 }  // namespace indigosaddle::net
--- a/src/net/resp.h
+++ b/src/net/resp.h
@@ -48,7 +48,7 @@
   bool handed_in_before = false;
 };
 
-// Empty where the command is well formed, else what is wrong with it.
+// Empty where the command is well formed, else what is wrong with it; no name may be given twice.
 std::string ParseEnqueue(const std::vector<std::string>& command, Enqueue& out);
 
 constexpr std::size_t kMostBody = std::size_t{64} * 1024;
