Fleet: a packet with an absent field is no packet

Callers would see: a packet whose sender's start, voters' fingerprint, ballot, epoch, version, round or accuser was missing was taken for one of an earlier process, a free lease, a ballot never promised, a fact without an epoch (its count of senders taken by a member that has heard none), or an accuser of its own. A number at the end of its range made the next one 0.

Cause: in proto3 an absent field reads as 0 or empty, and the decoder looked only at names and lengths.

Change: each word is read by one function that yields the whole word or nothing (std::optional); what can't be 0 or empty for its kind must be there, what its kind does not carry must not. A ballot is whole or none; none only where the encoder leaves it out (no lease runs). The wire form is as it was.

Why it works: no program of this version sends the refused values: starts come from the wall clock, counters, rounds, epochs and versions begin at 1, a suspicion names who suspects.

--- a/src/fleet/wire.cpp
+++ b/src/fleet/wire.cpp
@@ -1,5 +1,8 @@
 #include "fleet/wire.h"
 
+#include <utility>
+#include <vector>
+
 #include "fleet.pb.h"
 #include "fleet/facts.h"
 
@@ -12,44 +15,79 @@
   to.set_start(ballot.start);
 }
 
-Ballot Taken(const pb::Ballot& from) { return {from.counter(), from.proposer(), from.start()}; }
-
 bool IsName(const std::string& text, bool may_be_empty) {
   return text.size() <= kMostName && (may_be_empty || !text.empty());
 }
 
-bool Take(const pb::MemberWord& from, Packet& packet) {
-  if (!IsName(from.name(), false) || !IsName(from.accuser(), true)) return false;
-  if (from.liveness() > static_cast<std::uint32_t>(Liveness::kLeft)) return false;
-  packet.members.push_back({from.name(), from.start(), from.incarnation(),
-                            static_cast<Liveness>(from.liveness()), from.accuser()});
-  return true;
+// Numbers of processes, ballots and facts begin at 1, and the next one behind the highest is one too.
+bool IsNumber(std::uint64_t number) { return number > 0 && number <= kMostNumber; }
+
+bool IsIncarnation(std::uint32_t number) { return number <= kMostIncarnation; }
+
+std::optional<MemberWord> Read(const pb::MemberWord& from) {
+  if (!IsName(from.name(), false) || !IsNumber(from.start()) || !IsIncarnation(from.incarnation()))
+    return std::nullopt;
+  if (from.liveness() > static_cast<std::uint32_t>(Liveness::kLeft)) return std::nullopt;
+  const auto liveness = static_cast<Liveness>(from.liveness());
+  if (!IsName(from.accuser(), liveness != Liveness::kSuspect)) return std::nullopt;
+  return MemberWord{from.name(), from.start(), from.incarnation(), liveness, from.accuser()};
 }
 
-bool Take(const pb::Fact& from, Packet& packet) {
-  if (from.key().empty() || from.key().size() + from.value().size() > kMostFactBytes) return false;
-  if (!IsName(from.owner(), true)) return false;
-  packet.facts.push_back({from.key(), from.owner(), from.value(), from.epoch(), from.version()});
-  return true;
+std::optional<Fact> Read(const pb::Fact& from) {
+  if (from.key().empty() || from.key().size() + from.value().size() > kMostFactBytes) return std::nullopt;
+  if (!IsName(from.owner(), false) || !IsNumber(from.epoch()) || !IsNumber(from.version()))
+    return std::nullopt;
+  return Fact{from.key(), from.owner(), from.value(), from.epoch(), from.version()};
+}
+
+// Whole; or none, where `may_be_none` and no part of it came.
+std::optional<Ballot> Read(const pb::Ballot& from, bool may_be_none) {
+  const Ballot ballot{from.counter(), from.proposer(), from.start()};
+  if (may_be_none && ballot == Ballot{}) return ballot;
+  if (!IsNumber(ballot.counter) || !IsName(ballot.proposer, false) || !IsNumber(ballot.start))
+    return std::nullopt;
+  return ballot;
 }
 
-bool Take(const pb::LeaseWord& from, Packet& packet) {
-  if (from.kind() > static_cast<std::uint32_t>(LeaseKind::kRecollect)) return false;
-  if (!IsName(from.resource(), true) || !IsName(from.ballot().proposer(), true) ||
-      !IsName(from.accepted().proposer(), true)) {
-    return false;
+// A promise leaves out the lease that runs where none does; one that came in part is no promise.
+std::optional<Ballot> ReadAccepted(const pb::LeaseWord& from, LeaseKind kind) {
+  if (!from.has_accepted()) return kind == LeaseKind::kReject ? std::nullopt : std::optional(Ballot{});
+  if (kind != LeaseKind::kReject && kind != LeaseKind::kPromise) return std::nullopt;
+  return Read(from.accepted(), false);
+}
+
+std::optional<LeaseWord> Read(const pb::LeaseWord& from) {
+  if (from.kind() > static_cast<std::uint32_t>(LeaseKind::kRecollect)) return std::nullopt;
+  const auto kind = static_cast<LeaseKind>(from.kind());
+  const bool of_all =
+      kind == LeaseKind::kRecall || (kind == LeaseKind::kRecollect && from.resource().empty());
+  const bool has_round = kind != LeaseKind::kRecall && kind != LeaseKind::kRecollect;
+  if (!IsName(from.resource(), of_all) || (has_round && !IsNumber(from.round()))) return std::nullopt;
+  const auto ballot = Read(from.ballot(), of_all);
+  const auto accepted = ReadAccepted(from, kind);
+  if (!ballot || !accepted) return std::nullopt;
+  return LeaseWord{kind, from.resource(), *ballot, from.round(), *accepted, from.memory()};
+}
+
+template <typename List, typename Word>
+bool ReadAll(const List& list, std::size_t most, std::vector<Word>& words) {
+  if (static_cast<std::size_t>(list.size()) > most) return false;
+  for (const auto& one : list) {
+    auto word = Read(one);
+    if (!word) return false;
+    words.push_back(std::move(*word));
   }
-  packet.leases.push_back({static_cast<LeaseKind>(from.kind()), from.resource(), Taken(from.ballot()),
-                           from.round(), Taken(from.accepted()), from.memory()});
   return true;
 }
 
-template <typename List>
-bool TakeAll(const List& list, int most, Packet& packet) {
-  if (list.size() > most) return false;
-  for (const auto& one : list)
-    if (!Take(one, packet)) return false;
-  return true;
+// What a packet of its kind can't be without: a ping and its answers their number, a ping whom it is meant
+// for.
+bool IsWhole(const Packet& packet) {
+  const bool pings = packet.kind == PacketKind::kPing || packet.kind == PacketKind::kPingReq;
+  const bool answers = packet.kind == PacketKind::kAck || packet.kind == PacketKind::kNack;
+  if (!IsName(packet.from, false) || !IsName(packet.target, !pings)) return false;
+  if (!IsNumber(packet.start) || !IsIncarnation(packet.incarnation) || packet.electorate == 0) return false;
+  return packet.seq > 0 || !(pings || answers);
 }
 
 }  // namespace
@@ -98,7 +136,6 @@
   if (!in.ParseFromArray(bytes.data(), static_cast<int>(bytes.size()))) return std::nullopt;
   if (in.version() != kWireVersion || in.kind() > static_cast<std::uint32_t>(PacketKind::kExchangeReply))
     return std::nullopt;
-  if (!IsName(in.from(), false) || !IsName(in.target(), true)) return std::nullopt;
   Packet packet;
   packet.kind = static_cast<PacketKind>(in.kind());
   packet.from = in.from();
@@ -107,12 +144,10 @@
   packet.electorate = in.electorate();
   packet.seq = in.seq();
   packet.target = in.target();
-  if (!TakeAll(in.members(), kMostMembers, packet) ||
-      !TakeAll(in.facts(), static_cast<int>(kMostFacts), packet) ||
-      !TakeAll(in.leases(), kMostLeaseWords, packet)) {
-    return std::nullopt;
-  }
-  return packet;
+  const bool whole = IsWhole(packet) && ReadAll(in.members(), kMostMembers, packet.members) &&
+                     ReadAll(in.facts(), kMostFacts, packet.facts) &&
+                     ReadAll(in.leases(), kMostLeaseWords, packet.leases);
+  return whole ? std::optional(std::move(packet)) : std::nullopt;
 }
 
 }  // namespace indigosaddle::fleet
--- a/tests/fleet/fleet_wire_test.cpp
+++ b/tests/fleet/fleet_wire_test.cpp
@@ -5,6 +5,7 @@
 #include <fstream>
 #include <random>
 #include <string>
+#include <string_view>
 
 #include "fleet/memory_file.h"
 #include "fleet/notes.h"
@@ -74,6 +75,105 @@
   EXPECT_FALSE(refused([](Packet&) {}));
 }
 
+// In proto3 a field that is absent reads as 0 or empty: a packet that lost one must not pass for a word of an
+// earlier process, a lease that nobody holds, a ballot never promised or a fact without an epoch.
+TEST(FleetWire, AFieldThatIsAbsentMakesNoPacket) {
+  const auto refused = [](auto change) {
+    Packet packet = Whole();
+    change(packet);
+    return !Decode(Encode(packet)).has_value();
+  };
+  EXPECT_TRUE(refused([](Packet& p) { p.start = 0; }));
+  EXPECT_TRUE(refused([](Packet& p) { p.electorate = 0; }));
+  EXPECT_TRUE(refused([](Packet& p) { p.members[0].start = 0; }));
+  EXPECT_TRUE(refused([](Packet& p) { p.members[0].accuser.clear(); })) << "a suspicion of nobody";
+  EXPECT_TRUE(refused([](Packet& p) { p.facts[0].owner.clear(); }));
+  EXPECT_TRUE(refused([](Packet& p) { p.facts[0].epoch = 0; }));
+  EXPECT_TRUE(refused([](Packet& p) { p.facts[0].version = 0; }));
+  for (const PacketKind kind : {PacketKind::kPing, PacketKind::kAck, PacketKind::kPingReq, PacketKind::kNack})
+    EXPECT_TRUE(refused([&](Packet& p) { p.kind = kind, p.seq = 0; })) << static_cast<int>(kind);
+  for (const PacketKind kind : {PacketKind::kPing, PacketKind::kPingReq})
+    EXPECT_TRUE(refused([&](Packet& p) { p.kind = kind, p.target.clear(); })) << static_cast<int>(kind);
+}
+
+// The same of each kind of a lease's word; what a kind does not carry is not there.
+TEST(FleetWire, ALeasesWordIsWholeForItsKindOrMakesNoPacket) {
+  const auto read = [](const LeaseWord& word) {
+    Packet packet = Whole();
+    packet.leases = {word};
+    return Decode(Encode(packet)).has_value();
+  };
+  const Ballot five{5, "a", 1}, six{6, "b", 2};
+  for (const LeaseKind kind : {LeaseKind::kPrepare, LeaseKind::kPromise, LeaseKind::kReject,
+                               LeaseKind::kPropose, LeaseKind::kAccept, LeaseKind::kRelease}) {
+    const bool rejects = kind == LeaseKind::kReject, may_tell = rejects || kind == LeaseKind::kPromise;
+    const LeaseWord whole{kind, "x", five, 7, rejects ? six : Ballot{}, false};
+    const auto with = [&](auto change) {
+      LeaseWord word = whole;
+      change(word);
+      return read(word);
+    };
+    SCOPED_TRACE(static_cast<int>(kind));
+    EXPECT_TRUE(read(whole));
+    EXPECT_FALSE(with([](LeaseWord& w) { w.resource.clear(); }));
+    EXPECT_FALSE(with([](LeaseWord& w) { w.ballot.counter = 0; }));
+    EXPECT_FALSE(with([](LeaseWord& w) { w.ballot.proposer.clear(); }));
+    EXPECT_FALSE(with([](LeaseWord& w) { w.ballot.start = 0; }));
+    EXPECT_FALSE(with([](LeaseWord& w) { w.round = 0; }));
+    EXPECT_FALSE(with([&](LeaseWord& w) { w.accepted = {6, "", 2}; }));
+    EXPECT_FALSE(with([&](LeaseWord& w) { w.accepted = {6, "b", 0}; }));
+    EXPECT_EQ(with([&](LeaseWord& w) { w.accepted = six; }), may_tell);
+    EXPECT_EQ(with([&](LeaseWord& w) { w.accepted = {}; }), !rejects);
+  }
+  EXPECT_TRUE(read({LeaseKind::kRecall, "", {}, 0, {}, false}));
+  EXPECT_TRUE(read({LeaseKind::kRecollect, "", {}, 0, {}, true}));
+  EXPECT_TRUE(read({LeaseKind::kRecollect, "x", five, 0, {}, true}));
+  EXPECT_FALSE(read({LeaseKind::kRecollect, "x", {}, 0, {}, true})) << "a promise forgotten by who is sure";
+  EXPECT_FALSE(read({LeaseKind::kRecollect, "x", {5, "a", 0}, 0, {}, true}));
+}
+
+// A promise tells of the lease that runs by `accepted`: one that came without its counter means no free
+// lease.
+TEST(FleetWire, AnAcceptedBallotWithoutItsCounterIsNotNone) {
+  using std::string_view_literals::operator""sv;
+  Packet packet = Whole();
+  packet.leases.clear();
+  const std::string head = Encode(packet) + std::string("\x5a");
+  constexpr std::string_view kPromise =
+      "\x08\x01\x12\x01x\x1a\x07\x08\x05\x12\x01"
+      "a\x18\x01\x20\x07"sv;
+  const auto read = [&](std::string_view accepted) {
+    const std::string word = std::string(kPromise) + std::string(accepted);
+    return Decode(head + static_cast<char>(word.size()) + word).has_value();
+  };
+  EXPECT_TRUE(read(""));
+  EXPECT_TRUE(
+      read("\x2a\x07\x08\x06\x12\x01"
+           "b\x18\x02"));
+  EXPECT_FALSE(
+      read("\x2a\x05\x12\x01"
+           "b\x18\x02"));
+  EXPECT_FALSE(read("\x2a\x00"sv));
+}
+
+// Numbers that count on from what was heard: the next one behind the last would be 0.
+TEST(FleetWire, NumbersThatCantBeCountedOnAreRefused) {
+  constexpr std::uint64_t kLast = ~std::uint64_t{0};
+  const auto refused = [](auto change) {
+    Packet packet = Whole();
+    change(packet);
+    return !Decode(Encode(packet)).has_value();
+  };
+  EXPECT_TRUE(refused([](Packet& p) { p.start = kLast; }));
+  EXPECT_TRUE(refused([](Packet& p) { p.incarnation = ~std::uint32_t{0}; }));
+  EXPECT_TRUE(refused([](Packet& p) { p.members[0].start = kLast; }));
+  EXPECT_TRUE(refused([](Packet& p) { p.members[0].incarnation = ~std::uint32_t{0}; }));
+  EXPECT_TRUE(refused([](Packet& p) { p.facts[0].epoch = kLast; }));
+  EXPECT_TRUE(refused([](Packet& p) { p.facts[0].version = kLast; }));
+  EXPECT_TRUE(refused([](Packet& p) { p.leases[0].ballot.counter = kLast; }));
+  EXPECT_TRUE(refused([](Packet& p) { p.leases[0].accepted.counter = kLast; }));
+}
+
 TEST(MemoryFileTest, ADamagedFileCountsAsLostAndIsToldApartFromNone) {
   const std::string folder = ::testing::TempDir() + "fleet-memory";
   std::filesystem::remove_all(folder);
