Fleet: an agreed word that can't be read whole is none

Cause: the values of facts were read up to the first odd byte, without a range.

Change: ParseSenders, SiteWord::Parse and MemberSight::Parse yield a whole word within its range or nothing. Nothing is what each caller has for "not agreed yet". The texts are as they were.

--- a/src/fleet/fleet_agreed.cpp
+++ b/src/fleet/fleet_agreed.cpp
@@ -1,7 +1,6 @@
 // What a member makes of the others' words together: leases, whether it is connected, what is agreed, its
 // picture.
 #include <algorithm>
-#include <charconv>
 
 #include "fleet/fleet.h"
 
@@ -115,10 +114,9 @@
   view.superseded = members_.superseded();
   view.files_differ = FilesDiffer(now);
   view.strain = prober_.strain();
-  std::size_t agreed = 0;
-  if (const Fact* fact = facts_.Find(kSendersFact); fact != nullptr)
-    std::from_chars(fact->value.data(), fact->value.data() + fact->value.size(), agreed);
-  if (agreed > 0 && reached_) view.senders = std::max(agreed, view.present);
+  const Fact* fact = facts_.Find(kSendersFact);
+  const auto agreed = fact != nullptr ? ParseSenders(fact->value) : std::nullopt;
+  if (agreed && reached_) view.senders = std::max(*agreed, view.present);
   for (const auto& [name, member] : members_.all())
     view.members.push_back({name, member.peer.site, member.word.liveness, member.known, member.word.start});
   view.leases = Leases(now);
--- a/src/fleet/sites.cpp
+++ b/src/fleet/sites.cpp
@@ -12,6 +12,9 @@
 constexpr std::array<SiteState, 6> kStates = {SiteState::kUp,        SiteState::kThin, SiteState::kNoList,
                                               SiteState::kNoClients, SiteState::kLost, SiteState::kReturning};
 
+constexpr std::string_view kFlags = "tlc";  // of a sight, in this order: touch, list, clients
+constexpr char kNotSo = '-';                // in the place of a flag
+
 // The part of `text` up to `end`, which is taken off with it.
 std::string_view TakeTo(std::string_view& text, char end) {
   const std::size_t at = text.find(end);
@@ -35,16 +38,20 @@
 }
 
 std::string MemberSight::Text() const {
-  std::string text = std::string(touch ? "t" : "-") + (list ? "l" : "-") + (clients ? "c" : "-");
+  const bool so[] = {touch, list, clients};
+  std::string text;
+  for (std::size_t i = 0; i < kFlags.size(); ++i) text += so[i] ? kFlags[i] : kNotSo;
   for (const std::string& site : unseen) text += "\n" + site;
   return text;
 }
 
 std::optional<MemberSight> MemberSight::Parse(std::string_view text) {
   const std::string_view flags = TakeTo(text, '\n');
-  if (flags.size() != 3) return std::nullopt;
+  if (flags.size() != kFlags.size()) return std::nullopt;
+  for (std::size_t i = 0; i < kFlags.size(); ++i)
+    if (flags[i] != kFlags[i] && flags[i] != kNotSo) return std::nullopt;
   MemberSight sight;
-  sight.touch = flags[0] == 't', sight.list = flags[1] == 'l', sight.clients = flags[2] == 'c';
+  sight.touch = flags[0] != kNotSo, sight.list = flags[1] != kNotSo, sight.clients = flags[2] != kNotSo;
   while (!text.empty()) sight.unseen.emplace_back(TakeTo(text, '\n'));
   return sight;
 }
@@ -58,6 +65,7 @@
       std::find_if(kStates.begin(), kStates.end(), [&](SiteState s) { return name == NameOf(s); });
   const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), word.losses);
   if (state == kStates.end() || error != std::errc() || end != text.data() + text.size()) return std::nullopt;
+  if (word.losses < 0 || word.losses > kMostLosses) return std::nullopt;
   word.state = *state;
   return word;
 }
--- a/src/fleet/sites.h
+++ b/src/fleet/sites.h
@@ -48,6 +48,8 @@
   int others = 0, accusers = 0;  // members elsewhere that are in touch; of these, that see nobody of it
 };
 
+constexpr int kMostLosses = 3600;  // a site's, within the hour
+
 // What is agreed, as the coordinator's fact "site/NAME". `losses`: within the hour.
 struct SiteWord {
   SiteState state = SiteState::kUp;
--- a/src/fleet/snapshot.cpp
+++ b/src/fleet/snapshot.cpp
@@ -1,6 +1,7 @@
 #include "fleet/snapshot.h"
 
 #include <algorithm>
+#include <charconv>
 
 namespace indigosaddle::fleet {
 
@@ -13,6 +14,14 @@
   return "?";
 }
 
+std::optional<std::size_t> ParseSenders(std::string_view text) {
+  std::size_t count = 0;
+  const char* const end = text.data() + text.size();
+  const auto [at, error] = std::from_chars(text.data(), end, count);
+  const bool whole = error == std::errc() && at == end && count > 0 && count <= kMostSenders;
+  return whole ? std::optional(count) : std::nullopt;
+}
+
 std::size_t SendersToUse(const Snapshot& snapshot, std::size_t by_file) {
   if (!snapshot.senders) return by_file;
   return snapshot.standing == Standing::kConnected ? *snapshot.senders : std::max(by_file, *snapshot.senders);
--- a/src/fleet/snapshot.h
+++ b/src/fleet/snapshot.h
@@ -6,6 +6,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "fleet/facts.h"
@@ -52,6 +53,11 @@
   bool operator==(const Snapshot&) const = default;
 };
 
+constexpr std::size_t kMostSenders = 10000;
+
+// What the fact of agreed senders says; nothing where it is no count from 1 to kMostSenders.
+std::optional<std::size_t> ParseSenders(std::string_view text);
+
 // How many senders share a limit, where the operator's file says `by_file`. Too few would send over it, so
 // what is not sure (nothing agreed yet, or this process is cut off) counts as no fewer than the file says.
 std::size_t SendersToUse(const Snapshot& snapshot, std::size_t by_file);
--- a/tests/fleet/sites_test.cpp
+++ b/tests/fleet/sites_test.cpp
@@ -217,5 +217,24 @@
   }
 }
 
+// A word that is not as this program writes it is none: read in part it would hide a loss (whose endpoints
+// then count as warm), make a list of any length of it, or say that discovery is lost.
+TEST(SiteTexts, AnOddTextIsNoWord) {
+  EXPECT_TRUE(SiteWord::Parse("lost\n3"));
+  for (const char* text : {"", "lost", "lost\n", "lost\n-1", "lost\n3x", "lost\n3\n", "gone\n3",
+                           "lost\n2000000000", "lost\n99999999999"})
+    EXPECT_FALSE(SiteWord::Parse(text)) << text;
+  EXPECT_TRUE(MemberSight::Parse("t-c\nsouth"));
+  for (const char* text : {"", "tl", "xyz", "TLC", "tlcx", "ltc", "t c\nsouth"})
+    EXPECT_FALSE(MemberSight::Parse(text)) << text;
+}
+
+// Read in part, cut to an int or missing, it would be fewer senders than there are, and each would send more.
+TEST(SiteTexts, AnOddCountOfSendersIsNone) {
+  EXPECT_EQ(ParseSenders("12"), 12u);
+  for (const char* text : {"", "0", "-2", "12x", "1 2", " 12", "4294967297", "99999999999999999999"})
+    EXPECT_FALSE(ParseSenders(text)) << text;
+}
+
 }  // namespace
 }  // namespace indigosaddle::fleet::testing
