Fleet: with no count agreed there are no fewer senders than are seen

Callers would see: where the agreed count of senders was missing or unreadable, a node took the file's figure even where it saw more members, so that each sent more than its part of a limit.

Change: the larger of the two.

--- a/src/fleet/snapshot.cpp
+++ b/src/fleet/snapshot.cpp
@@ -23,7 +23,7 @@
 }
 
 std::size_t SendersToUse(const Snapshot& snapshot, std::size_t by_file) {
-  if (!snapshot.senders) return by_file;
+  if (!snapshot.senders) return std::max(by_file, snapshot.present);
   return snapshot.standing == Standing::kConnected ? *snapshot.senders : std::max(by_file, *snapshot.senders);
 }
 
--- a/src/fleet/snapshot.h
+++ b/src/fleet/snapshot.h
@@ -59,7 +59,8 @@
 std::optional<std::size_t> ParseSenders(std::string_view text);
 
 // How many senders share a limit, where the operator's file says `by_file`. Too few would send over it, so
-// what is not sure (nothing agreed yet, or this process is cut off) counts as no fewer than the file says.
+// what is not sure (nothing agreed yet, or this process is cut off) counts as no fewer than the file says,
+// and no fewer than are seen.
 std::size_t SendersToUse(const Snapshot& snapshot, std::size_t by_file);
 
 }  // namespace indigosaddle::fleet
--- a/tests/fleet/fleet_wire_test.cpp
+++ b/tests/fleet/fleet_wire_test.cpp
@@ -227,5 +227,14 @@
   EXPECT_EQ(SendersToUse(snapshot, 9), 14u);
 }
 
+// A count that is missing or unreadable must not be less than the members that are seen: each would send
+// more.
+TEST(SendersTest, WithNothingAgreedThereAreNoFewerThanAreSeen) {
+  Snapshot snapshot;
+  snapshot.present = 5;
+  EXPECT_EQ(SendersToUse(snapshot, 2), 5u);
+  EXPECT_EQ(SendersToUse(snapshot, 9), 9u);
+}
+
 }  // namespace
 }  // namespace indigosaddle::fleet
