Rules file: a line that is not whole makes the history unknown

Callers would see: after a start on a damaged `rules` file a message whose class had just been loosened could be repeated by the new rules though it was born under the old ones. Taken for a history were: a line without its class's name, or with a cut one; a negative time, so that the span bound nothing; a file that names no class or none in force; a second history behind the end.

Cause: the line was read by stream extraction, which takes what it finds, and the file's own promise (each class in force once) was not asked for.

Change: ReadLine yields the whole line or nothing: each number within its range and with one space behind it, a name that is not empty. A file is a history where it names something in force, no class twice so, and nothing is behind its end. The form that is written is as it was; every file that a process wrote is read.

Tests: RulesFile.AnOddLineMeansTheStrictest and AFileThatSaysNothingOrTooMuchMeansTheStrictest failed before (8 of 13 odd lines, 4 of 5 odd files were read as a history) and pass; node_parts_test 19 of 19. RulesFile.CutAtAnyByteItMeansTheStrictest passed before too.

--- a/src/node/message_rules.cpp
+++ b/src/node/message_rules.cpp
@@ -2,9 +2,13 @@
 
 #include <fmt/format.h>
 
+#include <algorithm>
+#include <charconv>
+#include <cstdint>
 #include <filesystem>
 #include <fstream>
-#include <sstream>
+#include <optional>
+#include <string_view>
 #include <system_error>
 #include <utility>
 
@@ -15,6 +19,7 @@
 
 constexpr const char* kHead = "rules 1";
 constexpr const char* kTail = "end";
+constexpr char kSpace = ' ';  // between a line's fields
 
 RuleHistory::Classes ClassesOf(const Config& config) {
   RuleHistory::Classes classes;
@@ -30,21 +35,47 @@
                      span.rules.sequential ? 1 : 0, span.deadline.count(), span.until.count(), name);
 }
 
-bool ReadLine(const std::string& line, RuleHistory::Spans& spans) {
-  std::istringstream words(line);
-  int effect = 0, group = 0, sequential = 0;
-  std::int64_t key_ttl = 0, deadline = 0, until = 0;
+// The number from `least` to `most` that a line begins with, with one space behind it; both are taken off.
+std::optional<std::int64_t> TakeNumber(std::string_view& line, std::int64_t least, std::int64_t most) {
+  std::int64_t number = 0;
+  const char* const end = line.data() + line.size();
+  const auto [at, error] = std::from_chars(line.data(), end, number);
+  if (error != std::errc() || at == end || *at != kSpace || number < least || number > most)
+    return std::nullopt;
+  line.remove_prefix(static_cast<std::size_t>(at - line.data()) + 1);
+  return number;
+}
+
+struct Line {
   std::string name;
-  if (!(words >> effect >> group >> key_ttl >> sequential >> deadline >> until)) return false;
-  words.get();
-  std::getline(words, name);
-  const bool known = effect >= 0 && effect <= static_cast<int>(Effect::kUnsafe) && group >= 0 &&
-                     group <= static_cast<int>(Group::kCell);
-  if (!known) return false;
-  const RepeatRules rules{static_cast<Effect>(effect), static_cast<Group>(group), Micros(key_ttl),
-                          sequential != 0};
-  spans[name].push_back({rules, Micros(deadline), Micros(until)});
-  return true;
+  RuleSpan span;
+};
+
+// The whole line as LineOf writes it, or nothing.
+std::optional<Line> ReadLine(std::string_view line) {
+  constexpr std::int64_t kLongest = Micros::max().count();
+  const auto effect = TakeNumber(line, 0, static_cast<std::int64_t>(Effect::kUnsafe));
+  const auto group = effect ? TakeNumber(line, 0, static_cast<std::int64_t>(Group::kCell)) : std::nullopt;
+  const auto key_ttl = group ? TakeNumber(line, 0, kLongest) : std::nullopt;
+  const auto sequential = key_ttl ? TakeNumber(line, 0, 1) : std::nullopt;
+  const auto deadline = sequential ? TakeNumber(line, 0, kLongest) : std::nullopt;
+  const auto until = deadline ? TakeNumber(line, 0, kLongest) : std::nullopt;
+  if (!until || line.empty()) return std::nullopt;
+  const RepeatRules rules{static_cast<Effect>(*effect), static_cast<Group>(*group), Micros(*key_ttl),
+                          *sequential != 0};
+  return Line{std::string(line), {rules, Micros(*deadline), Micros(*until)}};
+}
+
+// A process that saves has classes, each in force once; further ones are those that it had before.
+bool SaysWhatIsInForce(const RuleHistory::Spans& spans) {
+  bool any = false;
+  for (const auto& [name, of_class] : spans) {
+    const auto in_force = std::count_if(of_class.begin(), of_class.end(),
+                                        [](const RuleSpan& span) { return span.until == Micros::max(); });
+    if (in_force > 1) return false;
+    any = any || in_force == 1;
+  }
+  return any;
 }
 
 }  // namespace
@@ -86,9 +117,13 @@
   std::ifstream file(path_);
   std::string line;
   if (!std::getline(file, line) || line != kHead) return Found::kDamage;
-  while (std::getline(file, line) && line != kTail)
-    if (!ReadLine(line, spans)) return Found::kDamage;
-  return line == kTail ? Found::kHistory : Found::kDamage;
+  while (std::getline(file, line) && line != kTail) {
+    auto read = ReadLine(line);
+    if (!read) return Found::kDamage;
+    spans[read->name].push_back(read->span);
+  }
+  const bool whole = line == kTail && !std::getline(file, line) && SaysWhatIsInForce(spans);
+  return whole ? Found::kHistory : Found::kDamage;
 }
 
 }  // namespace indigosaddle::node
