Successor: an owner's rules that can't be read bind by the strictest

Callers would see: a successor that took the folder over while the owner's file `rules` was missing or damaged took its own earlier reading for all that had been in force; a message born under a rule that the owner had tightened meanwhile could be repeated.

Cause: TakeOver merged a history where there was one, and did nothing where there was none.

Change: without a whole history RuleHistory::Doubt binds, for the classes' deadline, whatever may be older than the take-over by the strictest rules, as a start does; `class.rules_unknown` is logged. Begin uses the same.

--- a/src/brain/repeat_rules.cpp
+++ b/src/brain/repeat_rules.cpp
@@ -50,9 +50,13 @@
 void RuleHistory::Begin(const Classes& classes, Micros now, Before before) {
   spans_.clear();
   Change(classes, now);
-  if (before == Before::kNothing) return;
+  if (before == Before::kUnknown) Doubt(now);
+}
+
+void RuleHistory::Doubt(Micros now) {
   for (auto& [name, spans] : spans_)
     spans.insert(spans.begin(), RuleSpan{kStrictestRules, LongestDeadline(spans), now});
+  Prune(now);
 }
 
 void RuleHistory::Restore(Spans spans, Micros now) {
--- a/src/brain/repeat_rules.h
+++ b/src/brain/repeat_rules.h
@@ -59,6 +59,8 @@
   bool Change(const Classes& classes, Micros now);
   // Another process's history of the same node, up to now.
   void Merge(const Spans& spans, Micros now);
+  // Up to now other rules may have been in force than are known here: the strictest bind what may be older.
+  void Doubt(Micros now);
 
   BirthRules RulesFor(const std::string& message_class, const HandIn& hand_in) const;
   const Spans& spans() const { return spans_; }
--- a/src/node/message_rules.cpp
+++ b/src/node/message_rules.cpp
@@ -99,7 +99,12 @@
 
 void MessageRules::TakeOver(Micros now) {
   RuleHistory::Spans spans;
-  if (Load(spans) == Found::kHistory) history_.Merge(spans, now);
+  known_ = Load(spans) == Found::kHistory;
+  if (known_) {
+    history_.Merge(spans, now);
+  } else {
+    history_.Doubt(now);
+  }
   saved_ = false;
 }
 
--- a/src/node/message_rules.h
+++ b/src/node/message_rules.h
@@ -17,13 +17,15 @@
   // `folder_used`: an earlier process served from it, so that a history that is missing is not known.
   void Start(const Config& config, Micros now, bool folder_used);
   void Change(const Config& config, Micros now);  // in force from now on
-  void TakeOver(Micros now);                      // what the process before this one changed meanwhile
+  // What the process before this one changed meanwhile; its file not readable: it may have changed anything.
+  void TakeOver(Micros now);
   bool Save();  // where it failed it may be called again; true where there is nothing to save
 
   BirthRules RulesFor(const std::string& message_class, const HandIn& hand_in) const {
     return history_.RulesFor(message_class, hand_in);
   }
-  bool known() const { return known_; }  // nothing was missing or damaged at the start
+  // Nothing was missing or damaged at the start, or at the take-over since.
+  bool known() const { return known_; }
 
  private:
   enum class Found { kNothing, kHistory, kDamage };
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -191,6 +191,7 @@
   }
   successor_ = false;
   rules_.TakeOver(loop_.Now());
+  if (!rules_.known()) log_.Write(base::kRulesUnknown, config_.state_folder);
   SaveRules();
   ShareRoom(false);
   state::Serial highest = 0;
--- a/tests/message_rules_test.cpp
+++ b/tests/message_rules_test.cpp
@@ -103,5 +103,22 @@
     EXPECT_EQ(Bound(whole.substr(0, size)), kStrictestRules) << size;
 }
 
+// The process before this one may have changed its rules until its end: where its file can't be read by then,
+// what was born meanwhile may be bound by any.
+TEST_F(RulesFile, ASuccessorThatFindsNoHistoryTakesTheStrictestForAWhile) {
+  for (const bool damaged : {false, true}) {
+    Put(File(kSafeLine));
+    MessageRules successor(folder);
+    successor.Start(Safe(), kStart, true);
+    ASSERT_EQ(Born(successor, kStart + seconds(1)).effect, Effect::kSafe);
+    std::filesystem::remove(folder + "/rules");
+    if (damaged) Put("rules 1\n2 2 0 0 80");
+    successor.TakeOver(kStart + seconds(2));
+    EXPECT_FALSE(successor.known());
+    EXPECT_EQ(Born(successor, kStart + seconds(3)), kStrictestRules) << damaged;
+    EXPECT_EQ(Born(successor, kStart + seconds(6)).effect, Effect::kSafe) << damaged;
+  }
+}
+
 }  // namespace
 }  // namespace indigosaddle::node
