--- a/src/node/journal_file.cpp
+++ b/src/node/journal_file.cpp
@@ -12,6 +12,7 @@
 #include <utility>
 
 #include "base/descriptor.h"
+#include "state/journal.h"
 
 namespace indigosaddle::node {
 
@@ -101,6 +102,13 @@
     return false;
   }
   const base::Descriptor owned(file);
+  if (!ReadWhole(file, most, bytes, trouble)) return false;
+  if (!state::OfAnotherVersion(bytes)) return true;
+  trouble = path + " is of another version: only a program that knows it may write it";
+  return false;
+}
+
+bool JournalFile::ReadWhole(int file, std::size_t most, std::string& bytes, std::string& trouble) {
   std::string block(1 << 16, '\0');
   while (true) {
     const ssize_t count = read(file, block.data(), block.size());
--- a/src/node/journal_file.h
+++ b/src/node/journal_file.h
@@ -34,9 +34,10 @@
   bool absorbs_next() const { return lock_ >= 0 && next_lock_ >= 0 && path_ == owners_path_; }
 
   // What an earlier process left; removes a rewrite that was cut off. False where the folder can't be used,
-  // or the file can't be read to its end or holds over `most` bytes: a part of it would pass for all that is
-  // owed. An owner that absorbs it reads the successor's file too, which a successor that died before it took
-  // over leaves; a successor reads the owner's, to number its messages past it.
+  // or the file can't be read to its end, holds over `most` bytes or is of another version: a part of it
+  // would pass for all that is owed. An owner that absorbs it reads the successor's file too, which a
+  // successor that died before it took over leaves; a successor reads the owner's, to number its messages
+  // past it.
   bool Read(std::size_t most, std::string& bytes, std::string& trouble);
   bool ReadNext(std::size_t most, std::string& bytes, std::string& trouble);
 
@@ -48,6 +49,7 @@
   void WriteTo(const std::string& path);
   void Close();
   bool ReadFile(const std::string& path, std::size_t most, std::string& bytes, std::string& trouble) const;
+  static bool ReadWhole(int file, std::size_t most, std::string& bytes, std::string& trouble);
 
   const std::string folder_, owners_path_, next_path_;
   std::string path_, new_path_;  // of the file that this process writes
--- a/src/state/journal.h
+++ b/src/state/journal.h
@@ -69,4 +69,7 @@
 };
 ReadJournal ParseJournal(std::string_view bytes);
 
+// Written by a program whose records are not known here: it must be left as it is.
+bool OfAnotherVersion(std::string_view bytes);
+
 }  // namespace indigosaddle::state
--- /dev/null
+++ b/src/state/journal_read.cpp
@@ -0,0 +1,166 @@
+// Bytes of the journal read back into records.
+#include <optional>
+#include <utility>
+
+#include "state/journal.h"
+#include "state/journal_format.h"
+
+namespace indigosaddle::state {
+namespace {
+
+// Reads past the end yield zero and clear ok().
+class Reader {
+ public:
+  explicit Reader(std::string_view bytes, std::uint64_t version = kVersion)
+      : bytes_(bytes), version_(version) {}
+  bool has_rules() const { return version_ >= kFirstWithRules; }
+  std::uint64_t Unsigned(std::size_t bytes = 8) {
+    if (bytes_.size() < bytes) {
+      ok_ = false;
+      return 0;
+    }
+    std::uint64_t value = 0;
+    for (std::size_t i = 0; i < bytes; ++i) {
+      value |= static_cast<std::uint64_t>(static_cast<unsigned char>(bytes_[i])) << (8 * i);
+    }
+    bytes_.remove_prefix(bytes);
+    return value;
+  }
+  int Int() { return static_cast<int>(static_cast<std::int32_t>(Unsigned(4))); }
+  Micros Time() { return Micros(static_cast<std::int64_t>(Unsigned())); }
+  std::string Text() {
+    const std::size_t size = Unsigned(4);
+    if (!ok_ || bytes_.size() < size) {
+      ok_ = false;
+      return {};
+    }
+    std::string text(bytes_.substr(0, size));
+    bytes_.remove_prefix(size);
+    return text;
+  }
+  template <typename T>
+  T Choice(T last) {
+    const std::uint64_t value = Unsigned(1);
+    if (value > static_cast<std::uint64_t>(last)) ok_ = false;
+    return ok_ ? static_cast<T>(value) : T{};
+  }
+  bool ok() const { return ok_; }
+  bool done() const { return ok_ && bytes_.empty(); }
+
+ private:
+  std::string_view bytes_;
+  std::uint64_t version_;
+  bool ok_ = true;
+};
+
+void Get(Reader& in, Taken& r) {
+  r.serial = in.Unsigned();
+  for (std::string* text : {&r.id, &r.message_class, &r.tenant, &r.idempotency_key, &r.order_key, &r.body}) {
+    *text = in.Text();
+  }
+  r.destination = in.Unsigned();
+  r.give_up_at = in.Time();
+  if (!in.has_rules()) return;  // born under rules that nobody noted: the strictest
+  r.rules.effect = in.Choice(Effect::kUnsafe);
+  r.rules.group = in.Choice(Group::kCell);
+  r.rules.key_ttl = in.Time();
+  r.rules.sequential = in.Unsigned(1) != 0;
+}
+
+// A number of an older version is of settings that are not known here.
+std::string GetZone(Reader& in) {
+  if (in.has_rules()) return in.Text();
+  in.Unsigned(4);
+  return {};
+}
+template <typename T>
+void GetAttempt(Reader& in, T& r) {
+  r.serial = in.Unsigned();
+  r.endpoint = in.Text();
+  r.zone = GetZone(in);
+  r.at = in.Time();
+}
+void Get(Reader& in, Attempted& r) { GetAttempt(in, r); }
+void Get(Reader& in, Connecting& r) { GetAttempt(in, r); }
+void Get(Reader& in, Settled& r) {
+  r.serial = in.Unsigned();
+  r.result = in.Choice(Result::kGarbled);
+}
+void Get(Reader& in, Ended& r) {
+  r.serial = in.Unsigned();
+  r.end = in.Choice(End::kReturned);
+  r.not_before = in.Time();
+}
+void Get(Reader& in, Noticed& r) { r.serial = in.Unsigned(); }
+void Get(Reader& in, Resumed& r) {
+  r.serial = in.Unsigned();
+  r.past.attempts = in.Int();
+  r.past.may_have_run = in.Unsigned(1) != 0;
+  r.past.first_run = in.Time();
+  r.run_zone = GetZone(in);
+}
+
+template <std::size_t... I>
+std::optional<Record> Decode(std::uint64_t type, Reader& in, std::index_sequence<I...>) {
+  std::optional<Record> record;
+  const auto take = [&]<typename T>(std::size_t index, T value) {
+    if (type != index) return;
+    Get(in, value);
+    if (in.done()) record = std::move(value);
+  };
+  (take(I, std::variant_alternative_t<I, Record>{}), ...);
+  return record;
+}
+
+// The version that a journal says it has: nothing where its head is none, or is cut.
+std::optional<std::uint64_t> VersionOf(std::string_view bytes) {
+  if (!bytes.starts_with(kMagic) || bytes.size() < kHeadBytes) return std::nullopt;
+  return Reader(bytes.substr(kMagic.size(), kVersionBytes)).Unsigned(kVersionBytes);
+}
+
+bool IsKnown(std::uint64_t version) { return version >= 1 && version <= kVersion; }
+
+}  // namespace
+
+bool OfAnotherVersion(std::string_view bytes) {
+  const auto version = VersionOf(bytes);
+  return version && !IsKnown(*version);
+}
+
+ReadJournal ParseJournal(std::string_view bytes) {
+  ReadJournal result;
+  if (bytes.empty()) return result;
+  const auto version = VersionOf(bytes);
+  if (!version || !IsKnown(*version)) {
+    result.trouble = version ? "another version" : "not a journal";
+    return result;
+  }
+  result.read = kHeadBytes;
+  while (result.read < bytes.size()) {
+    std::string_view rest = bytes.substr(result.read);
+    Reader frame(rest.substr(0, kFrameBytes));
+    const std::size_t length = frame.Unsigned(4);
+    const std::uint64_t checksum = frame.Unsigned(4);
+    if (!frame.ok() || length > kMostRecordBytes || rest.size() - kFrameBytes < length) {
+      result.trouble = "a torn record at the end";
+      return result;
+    }
+    const std::string_view body = rest.substr(kFrameBytes, length);
+    if (Checksum(body) != checksum) {
+      result.trouble = "a record with a wrong checksum";
+      return result;
+    }
+    Reader in(body, *version);
+    const std::uint64_t type = in.Unsigned(1);
+    auto record = Decode(type, in, std::make_index_sequence<std::variant_size_v<Record>>());
+    if (!record) {
+      result.trouble = "a record of unknown form";
+      return result;
+    }
+    result.records.push_back(std::move(*record));
+    result.read += kFrameBytes + length;
+  }
+  return result;
+}
+
+}  // namespace indigosaddle::state
--- a/tests/journal_file_test.cpp
+++ b/tests/journal_file_test.cpp
@@ -7,6 +7,7 @@
 #include <cstdlib>
 #include <filesystem>
 #include <fstream>
+#include <iterator>
 #include <string>
 
 #include "state/journal.h"
@@ -97,6 +98,42 @@
   EXPECT_EQ(Read(), "both ");
 }
 
+// Taken for an empty one it would be written over, and nothing of what a later program owed would ever get
+// its end. A head that was cut holds nothing that is owed.
+TEST_F(JournalFolder, AJournalOfAVersionToComeIsRefusedAndLeftAsItIs) {
+  std::string head = state::JournalHead();
+  head[head.size() - 4] = 99;
+  const std::string newer = head + "what is owed";
+  for (const char* name : {"journal", "journal.next"}) {
+    Put(name, newer);
+    std::string bytes;
+    JournalFile file(folder_);
+    ASSERT_EQ(file.Claim(), JournalFile::Role::kOwner);
+    EXPECT_FALSE(file.Read(1000, bytes, trouble_) && file.ReadNext(1000, bytes, trouble_)) << name;
+    EXPECT_NE(trouble_.find("another version"), std::string::npos) << trouble_;
+    std::ifstream left(folder_ + "/" + name, std::ios::binary);
+    EXPECT_EQ(std::string(std::istreambuf_iterator<char>(left), {}), newer);
+    std::filesystem::remove(folder_ + "/" + name);
+  }
+  Put("journal", state::JournalHead().substr(0, state::JournalHead().size() - 1));
+  Read();
+}
+
+// The same of a successor: it goes on writing its own file.
+TEST_F(JournalFolder, ASuccessorOfAVersionBeforeLeavesTheOwnersJournal) {
+  JournalFile successor(folder_);
+  TakePlaceOfAnOwner(successor);
+  std::string head = state::JournalHead();
+  head[head.size() - 4] = 99;
+  Put("journal", head);
+  std::string bytes;
+  EXPECT_FALSE(successor.Read(1000, bytes, trouble_));
+  EXPECT_TRUE(successor.Append("more "));
+  EXPECT_TRUE(successor.Rewrite("all its own "));
+  std::ifstream left(folder_ + "/journal", std::ios::binary);
+  EXPECT_EQ(std::string(std::istreambuf_iterator<char>(left), {}), head);
+}
+
 TEST_F(JournalFolder, ARewriteCutOffAtAnyStepLeavesTheOldJournal) {
   const std::string old = state::JournalHead() + "old", fresh = state::JournalHead() + "newer";
   for (std::size_t size = 0; size <= fresh.size(); ++size) {  // before the rename, at each byte
