--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -82,6 +82,11 @@
   return read;
 }
 
+void Add(state::ReadJournal journal, state::Recovered& recovered) {
+  recovered.unsure.merge(state::Unsure(journal));
+  for (state::Record& record : journal.records) recovered.records.push_back(std::move(record));
+}
+
 }  // namespace
 
 bool Node::Start() {
@@ -111,7 +116,7 @@
   if (role == JournalFile::Role::kOwner) {
     if (!trouble.empty()) log_.Write(base::kJournalDamaged, trouble, bytes.size(), bytes.size());
     if (!old.trouble.empty()) log_.Write(base::kJournalDamaged, old.trouble, old.read, bytes.size());
-    recovered.records = std::move(old.records);
+    Add(std::move(old), recovered);
     // A successor that died before it took over left its own file.
     std::string next;
     trouble.clear();
@@ -123,7 +128,7 @@
       log_.Write(base::kJournalFound, next.size());
       state::ReadJournal more = Parsed(next, highest);
       if (!more.trouble.empty()) log_.Write(base::kJournalDamaged, more.trouble, more.read, next.size());
-      for (state::Record& record : more.records) recovered.records.push_back(std::move(record));
+      Add(std::move(more), recovered);
     }
   } else {
     // Another process serves from this folder: what it owes is its own until it ends.
@@ -199,7 +204,7 @@
   if (!old.trouble.empty()) log_.Write(base::kJournalDamaged, old.trouble, old.read, bytes.size());
   log_.Write(base::kJournalTakenOver, bytes.size());
   state::Recovered recovered;
-  recovered.records = std::move(old.records);
+  Add(std::move(old), recovered);
   recovered.now = loop_.Now();
   Push(std::move(recovered));
   if (!StartFleet()) log_.Write(base::kFleetTrouble, "its address can't be used; nothing is shared");
--- a/src/state/events.h
+++ b/src/state/events.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 #include <variant>
@@ -30,7 +31,8 @@
 struct Recovered {  // first: what the journal folder held, and from where numbers go on
   std::vector<Record> records;
   Micros now{0};
-  Serial numbered_past = 0;  // a successor numbers its messages past those of the process that it replaces
+  Serial numbered_past = 0;   // a successor numbers its messages past those of the process that it replaces
+  std::set<Serial> unsure{};  // of these, those of which a record was lost
 };
 struct ClientMessage {
   ClientRef client;
--- a/src/state/journal.h
+++ b/src/state/journal.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <cstdint>
+#include <set>
 #include <string>
 #include <string_view>
 #include <variant>
@@ -66,9 +67,15 @@
   std::vector<Record> records;
   std::size_t read = 0;  // bytes that were good
   std::string trouble;   // empty: the whole journal was read
+  // It was damaged behind its writing, and what followed is lost: not a write that was cut off at the end,
+  // for what a turn wants is done only once its records are written.
+  bool damaged = false;
 };
 ReadJournal ParseJournal(std::string_view bytes);
 
+// Messages of which a lost record may have said more: all of a journal that is damaged.
+std::set<Serial> Unsure(const ReadJournal& journal);
+
 // Written by a program whose records are not known here: it must be left as it is.
 bool OfAnotherVersion(std::string_view bytes);
 
--- a/src/state/journal_read.cpp
+++ b/src/state/journal_read.cpp
@@ -101,7 +101,7 @@
 }
 
 template <std::size_t... I>
-std::optional<Record> Decode(std::uint64_t type, Reader& in, std::index_sequence<I...>) {
+std::optional<Record> DecodeAs(std::uint64_t type, Reader& in, std::index_sequence<I...>) {
   std::optional<Record> record;
   const auto take = [&]<typename T>(std::size_t index, T value) {
     if (type != index) return;
@@ -112,6 +112,41 @@
   return record;
 }
 
+// The whole record that a body holds, or nothing.
+std::optional<Record> Decode(std::string_view body, std::uint64_t version) {
+  Reader in(body, version);
+  const std::uint64_t type = in.Unsigned(1);
+  return DecodeAs(type, in, std::make_index_sequence<std::variant_size_v<Record>>());
+}
+
+struct Body {
+  std::string_view bytes;
+  bool fits = false;  // its checksum
+};
+
+// Of the record that begins here; nothing where its length leads past the end, or is none of a record.
+std::optional<Body> BodyOf(std::string_view rest) {
+  Reader frame(rest.substr(0, kFrameBytes));
+  const std::size_t length = frame.Unsigned(4);
+  const std::uint64_t checksum = frame.Unsigned(4);
+  if (!frame.ok() || length > kMostRecordBytes || rest.size() - kFrameBytes < length) return std::nullopt;
+  const std::string_view bytes = rest.substr(kFrameBytes, length);
+  return Body{bytes, Checksum(bytes) == checksum};
+}
+
+// Whether a whole record stands anywhere behind the first byte. A write that was cut off leaves none.
+bool RecordBehind(std::string_view rest) {
+  constexpr std::size_t kLeast = 1 + sizeof(Serial);  // each begins with its kind and a message's number
+  if (rest.size() >= kFrameBytes + kMostRecordBytes) return true;  // longer than what is left of one
+  for (rest.remove_prefix(1); rest.size() >= kFrameBytes + kLeast; rest.remove_prefix(1)) {
+    const auto kind = static_cast<unsigned char>(rest[kFrameBytes]);
+    if (kind >= std::variant_size_v<Record>) continue;
+    const auto body = BodyOf(rest);
+    if (body && body->fits && body->bytes.size() >= kLeast) return true;
+  }
+  return false;
+}
+
 // The version that a journal says it has: nothing where its head is none, or is cut.
 std::optional<std::uint64_t> VersionOf(std::string_view bytes) {
   if (!bytes.starts_with(kMagic) || bytes.size() < kHeadBytes) return std::nullopt;
@@ -137,30 +172,31 @@
   }
   result.read = kHeadBytes;
   while (result.read < bytes.size()) {
-    std::string_view rest = bytes.substr(result.read);
-    Reader frame(rest.substr(0, kFrameBytes));
-    const std::size_t length = frame.Unsigned(4);
-    const std::uint64_t checksum = frame.Unsigned(4);
-    if (!frame.ok() || length > kMostRecordBytes || rest.size() - kFrameBytes < length) {
-      result.trouble = "a torn record at the end";
-      return result;
-    }
-    const std::string_view body = rest.substr(kFrameBytes, length);
-    if (Checksum(body) != checksum) {
-      result.trouble = "a record with a wrong checksum";
+    const std::string_view rest = bytes.substr(result.read);
+    const auto body = BodyOf(rest);
+    if (!body) {
+      result.damaged = RecordBehind(rest);
+      result.trouble = result.damaged ? "a record with a wrong length" : "a torn record at the end";
       return result;
     }
-    Reader in(body, *version);
-    const std::uint64_t type = in.Unsigned(1);
-    auto record = Decode(type, in, std::make_index_sequence<std::variant_size_v<Record>>());
+    auto record = body->fits ? Decode(body->bytes, *version) : std::nullopt;
     if (!record) {
-      result.trouble = "a record of unknown form";
+      result.damaged = true;
+      result.trouble = body->fits ? "a record of unknown form" : "a record with a wrong checksum";
       return result;
     }
     result.records.push_back(std::move(*record));
-    result.read += kFrameBytes + length;
+    result.read += kFrameBytes + body->bytes.size();
   }
   return result;
 }
 
+std::set<Serial> Unsure(const ReadJournal& journal) {
+  std::set<Serial> serials;
+  if (!journal.damaged) return serials;
+  for (const Record& record : journal.records)
+    if (const auto* taken = std::get_if<Taken>(&record)) serials.insert(taken->serial);
+  return serials;
+}
+
 }  // namespace indigosaddle::state
--- a/src/state/keeper.h
+++ b/src/state/keeper.h
@@ -53,6 +53,14 @@
     if (Owed* owed = Find(r.serial)) owed->past = r.past, owed->run_zone = r.run_zone;
   }
 
+  // A record of it was lost: a call that it told of may have run, long ago and in any zone.
+  void Doubt(Owed& owed) {
+    if (owed.past.may_have_run) return;
+    owed.past.may_have_run = true;
+    owed.past.first_run = Micros(0);
+    owed.run_zone.clear();
+  }
+
   Owed* Find(Serial serial) {
     auto it = state_.owed.find(serial);
     return it == state_.owed.end() ? nullptr : &it->second;
--- a/src/state/reducer.cpp
+++ b/src/state/reducer.cpp
@@ -37,6 +37,7 @@
       Owed& owed = state_.owed.at(serial);
       // Cut off: it may have run, unless its connection was never up.
       if (owed.out) keep_(Settled{serial, owed.connecting ? Result::kNoConnection : Result::kReset});
+      if (e.unsure.contains(serial)) keep_.Doubt(owed);
       if (!owed.ended) {
         ++resumed;
         const Taken& taken = owed.taken;
--- /dev/null
+++ b/tests/state_damage_test.cpp
@@ -0,0 +1,119 @@
+// A journal that was damaged behind its writing: what was lost with the damage may bind what came before it.
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include "state_play.h"
+
+namespace indigosaddle::state {
+namespace {
+
+constexpr std::size_t kFrame = 8;  // a record's length and checksum
+
+std::uint32_t Crc(const std::string& bytes) {
+  constexpr std::uint32_t kPolynomial = 0xedb88320;
+  std::uint32_t crc = ~0u;
+  for (const char c : bytes) {
+    crc ^= static_cast<unsigned char>(c);
+    for (int bit = 0; bit < 8; ++bit) crc = (crc >> 1) ^ ((crc & 1) != 0 ? kPolynomial : 0);
+  }
+  return ~crc;
+}
+
+std::string Number(std::uint64_t value, int bytes) {
+  std::string out;
+  for (int i = 0; i < bytes; ++i) out += static_cast<char>(value >> (8 * i) & 0xff);
+  return out;
+}
+
+std::string Framed(const std::string& body) { return Number(body.size(), 4) + Number(Crc(body), 4) + body; }
+
+// A journal of one record, changed in the part behind its frame, with its frame made to fit.
+template <typename Change>
+ReadJournal Changed(const Record& record, Change change) {
+  std::string bytes;
+  AppendRecord(bytes, record);
+  std::string body = bytes.substr(kFrame);
+  change(body);
+  return ParseJournal(JournalHead() + Framed(body));
+}
+
+const std::vector<Record> kOneOfEach = {SomeTaken(1),
+                                        Attempted{1, "s-1", "z-2", seconds(3)},
+                                        Settled{1, Result::kTimeout},
+                                        Ended{1, End::kReturned, milliseconds(500)},
+                                        Noticed{1},
+                                        Resumed{1, {4, true, seconds(2), 1}, "z-1"},
+                                        Connecting{1, "s-1", "z-2", seconds(3)}};
+
+// The frame fits, so only the record's own form tells: a field that is cut, missing or one too many.
+TEST(JournalDamage, ARecordOfAnotherLengthIsNone) {
+  for (const Record& record : kOneOfEach) {
+    EXPECT_EQ(Changed(record, [](std::string&) {}).records.size(), 1u);
+    const std::size_t size = RecordBytes(record) - kFrame;
+    for (std::size_t cut = 0; cut < size; ++cut)
+      EXPECT_NE(Changed(record, [&](std::string& body) { body.resize(cut); }).trouble, "") << record.index();
+    EXPECT_NE(Changed(record, [](std::string& body) { body += '\0'; }).trouble, "") << record.index();
+  }
+}
+
+// The message of a journal that was taken up, as the module hears of it; the rest of the journal was `read`.
+Message Resumed_(const ReadJournal& read) {
+  Play next;
+  Recovered recovered;
+  recovered.records = read.records;
+  recovered.unsure = Unsure(read);
+  next.Event_(recovered);
+  return next.All<TellMessage>().at(0).message;
+}
+
+// Behind the damage a call of the message may be on record, its end too: taken for one that was never sent,
+// it would be sent a second time though it may not be repeated.
+TEST(JournalDamage, WhatCameBeforeMayHaveRun) {
+  Play play;
+  const Serial serial = play.Owe("a");
+  const std::size_t taken = play.journal.size();
+  play.Begin(serial);
+  play.End(serial, Ending::kTimedOut);
+  play.Turn();
+  play.Owe("b");
+  for (std::size_t at = taken; at < play.journal.size(); ++at) {
+    std::string bad = play.journal;
+    bad[at] = static_cast<char>(bad[at] ^ 0x20);
+    const ReadJournal read = ParseJournal(bad);
+    EXPECT_NE(read.trouble, "") << at;
+    const Past past = Resumed_(read).past;
+    EXPECT_TRUE(past.may_have_run) << at << ' ' << read.trouble;
+    EXPECT_EQ(past.first_run, read.records.size() > 2 ? seconds(5) : seconds(0)) << at;
+  }
+}
+
+// A call that waited for its connection may have begun by then, in another zone too.
+TEST(JournalDamage, ACallThatWaitedForItsConnectionMayHaveRun) {
+  Play play;
+  play.Send(play.Owe("a"));
+  const ReadJournal damaged = ParseJournal(play.journal + Framed("rubbish"));
+  EXPECT_TRUE(Resumed_(damaged).past.may_have_run);
+  EXPECT_EQ(Resumed_(damaged).past.first_run, Micros(0));
+  EXPECT_EQ(Resumed_(damaged).past.run_zone, kUnknownZone);
+  EXPECT_FALSE(Resumed_(ParseJournal(play.journal)).past.may_have_run);
+}
+
+// A write that was cut off ends the file and had no effect: what came before it is as it was.
+TEST(JournalDamage, ACutWriteIsNoDamage) {
+  Play play;
+  const Serial serial = play.Owe("a");
+  const std::size_t taken = play.journal.size();
+  play.Begin(serial);
+  for (std::size_t size = taken; size < play.journal.size(); ++size) {
+    const ReadJournal read = ParseJournal(std::string_view(play.journal).substr(0, size));
+    EXPECT_TRUE(Unsure(read).empty()) << size;
+    EXPECT_FALSE(Resumed_(read).past.may_have_run) << size;
+  }
+}
+
+}  // namespace
+}  // namespace indigosaddle::state
