--- a/src/state/journal_read.cpp
+++ b/src/state/journal_read.cpp
@@ -1,4 +1,6 @@
 // Bytes of the journal read back into records.
+#include <cstdint>
+#include <limits>
 #include <optional>
 #include <utility>
 
@@ -8,7 +10,10 @@
 namespace indigosaddle::state {
 namespace {
 
-// Reads past the end yield zero and clear ok().
+constexpr Serial kMostSerial = ~Serial{0} >> 1;
+enum class Flagged : std::uint8_t { kNo, kYes };
+
+// Reads past the end yield zero and clear ok(), as do values that no program writes.
 class Reader {
  public:
   explicit Reader(std::string_view bytes, std::uint64_t version = kVersion)
@@ -26,7 +31,18 @@
     bytes_.remove_prefix(bytes);
     return value;
   }
-  int Int() { return static_cast<int>(static_cast<std::int32_t>(Unsigned(4))); }
+  // A message's number: they begin at 1, and the next one behind the highest is one too.
+  Serial Number() {
+    const Serial serial = Unsigned();
+    if (serial == 0 || serial > kMostSerial) ok_ = false;
+    return serial;
+  }
+  int Count() {
+    const std::uint64_t count = Unsigned(4);
+    if (count > static_cast<std::uint64_t>(std::numeric_limits<std::int32_t>::max())) ok_ = false;
+    return ok_ ? static_cast<int>(count) : 0;
+  }
+  bool Flag() { return Choice(Flagged::kYes) == Flagged::kYes; }
   Micros Time() { return Micros(static_cast<std::int64_t>(Unsigned())); }
   std::string Text() {
     const std::size_t size = Unsigned(4);
@@ -54,7 +70,7 @@
 };
 
 void Get(Reader& in, Taken& r) {
-  r.serial = in.Unsigned();
+  r.serial = in.Number();
   for (std::string* text : {&r.id, &r.message_class, &r.tenant, &r.idempotency_key, &r.order_key, &r.body}) {
     *text = in.Text();
   }
@@ -64,7 +80,7 @@
   r.rules.effect = in.Choice(Effect::kUnsafe);
   r.rules.group = in.Choice(Group::kCell);
   r.rules.key_ttl = in.Time();
-  r.rules.sequential = in.Unsigned(1) != 0;
+  r.rules.sequential = in.Flag();
 }
 
 // A number of an older version is of settings that are not known here.
@@ -75,7 +91,7 @@
 }
 template <typename T>
 void GetAttempt(Reader& in, T& r) {
-  r.serial = in.Unsigned();
+  r.serial = in.Number();
   r.endpoint = in.Text();
   r.zone = GetZone(in);
   r.at = in.Time();
@@ -83,19 +99,19 @@
 void Get(Reader& in, Attempted& r) { GetAttempt(in, r); }
 void Get(Reader& in, Connecting& r) { GetAttempt(in, r); }
 void Get(Reader& in, Settled& r) {
-  r.serial = in.Unsigned();
+  r.serial = in.Number();
   r.result = in.Choice(Result::kGarbled);
 }
 void Get(Reader& in, Ended& r) {
-  r.serial = in.Unsigned();
+  r.serial = in.Number();
   r.end = in.Choice(End::kReturned);
   r.not_before = in.Time();
 }
-void Get(Reader& in, Noticed& r) { r.serial = in.Unsigned(); }
+void Get(Reader& in, Noticed& r) { r.serial = in.Number(); }
 void Get(Reader& in, Resumed& r) {
-  r.serial = in.Unsigned();
-  r.past.attempts = in.Int();
-  r.past.may_have_run = in.Unsigned(1) != 0;
+  r.serial = in.Number();
+  r.past.attempts = in.Count();
+  r.past.may_have_run = in.Flag();
   r.past.first_run = in.Time();
   r.run_zone = GetZone(in);
 }
--- a/tests/state_damage_test.cpp
+++ b/tests/state_damage_test.cpp
@@ -60,6 +60,26 @@
   }
 }
 
+// A value that no program writes: read as the first of its kind it would be a call that surely did not run, a
+// message that may be repeated, an end that owes nothing, more attempts than are allowed.
+TEST(JournalDamage, AValueOutOfRangeMakesNoRecord) {
+  const auto last = [](char value, std::size_t back) {
+    return [=](std::string& body) { body[body.size() - back] = value; };
+  };
+  EXPECT_NE(Changed(Settled{1, Result::kOk}, last(9, 1)).trouble, "");
+  EXPECT_NE(Changed(Ended{1, End::kFailed, {}}, last(3, 9)).trouble, "");
+  EXPECT_NE(Changed(SomeTaken(1), last(3, 11)).trouble, "") << "effect";
+  EXPECT_NE(Changed(SomeTaken(1), last(3, 10)).trouble, "") << "group";
+  EXPECT_NE(Changed(SomeTaken(1), last(2, 1)).trouble, "") << "order";
+  EXPECT_NE(Changed(SomeTaken(1), [](std::string& body) { body[0] = 7; }).trouble, "") << "kind";
+  const Resumed resumed{1, {4, true, seconds(2), 1}, ""};
+  const std::size_t behind = 4 + 8;  // the zone's name, the first run
+  EXPECT_NE(Changed(resumed, last(2, behind + 1)).trouble, "") << "may have run";
+  EXPECT_NE(Changed(resumed, last('\xff', behind + 2)).trouble, "") << "attempts below 0";
+  for (const Serial serial : {Serial{0}, ~Serial{0}})
+    EXPECT_NE(Changed(SomeTaken(1), [&](std::string& b) { b.replace(1, 8, Number(serial, 8)); }).trouble, "");
+}
+
 // The message of a journal that was taken up, as the module hears of it; the rest of the journal was `read`.
 Message Resumed_(const ReadJournal& read) {
   Play next;
