--- a/tests/node_repeat_rules_test.cpp
+++ b/tests/node_repeat_rules_test.cpp
@@ -47,6 +47,16 @@
   ExpectOneCallAndFailure("old");
 }
 
+// The same as it comes from a node that died or did not answer.
+TEST_F(RuleChanges, WhatComesFromANodeThatDiedMayHaveBeenBornBefore) {
+  StartNode();
+  SetEffect("read_like");
+  Reload();
+  std::this_thread::sleep_for(milliseconds(3600));
+  ASSERT_EQ(HandIn("again", 7900, ",again=1"), "+OK");
+  ExpectOneCallAndFailure("again");
+}
+
 TEST_F(RuleChanges, AKillAndAStartWithTheNewFileChangeNothingForWhatWasTakenOn) {
   StartNode();
   EndpointStandIn slow([](Socket& s, const HttpRequest&, int) { return Hang(s); });
