A last good file that can't be used turns no whole file down

Callers saw: a node whose state folder held a platform.json that is JSON but no usable document did not start at all, though the platform's file was whole.

Cause: the start held the new file against the kept one with no look at whether the kept one is usable. The new file was refused for lacking a key that only the damaged one has, and the kept one could not serve either.

Change: HoldAgainstLastGood checks the kept document against the schema first; one with faults is left out and its faults are logged as trouble of the start. A kept document that can serve is a measure as before.

Test: StartWithLastGood.OneThatCantBeUsedTurnsNoWholeFileDown failed before (ConfigError "settings.cbps: is missing; the settings in force have it") and passes after.

--- a/src/node/beginning.cpp
+++ b/src/node/beginning.cpp
@@ -7,6 +7,7 @@
 #include <utility>
 #include <vector>
 
+#include "config/platform_document.h"
 #include "config/store.h"
 #include "config/strict_json.h"
 #include "node/last_good_file.h"
@@ -97,7 +98,13 @@
   if (folder.empty() || !sources.platform.given) return "";
   const std::optional<std::string> text = LastGoodFile(folder).Load();
   if (!text) return "";
-  const std::vector<config::Fault> faults = config::ParseObject(*text, kLastGoodName).faults;
+  const config::ParsedObject parsed = config::ParseObject(*text, kLastGoodName);
+  std::vector<config::Fault> faults = parsed.faults;
+  // One that no node could serve by is no measure of another.
+  if (faults.empty()) {
+    const auto below = sources.operators.given ? config::Below::kOperatorsFile : config::Below::kNothing;
+    faults = config::CheckPlatformDocument(parsed.value, kLastGoodName, below);
+  }
   if (!faults.empty()) return config::ToText(faults, "; ");
   sources.in_force = {true, kLastGoodName, *text};
   return "";
--- /dev/null
+++ b/tests/config/odd_platform_documents_test.cpp
@@ -0,0 +1,50 @@
+// Odd and damaged documents of the platform's: what they may bring into force, stop from starting, or cost.
+#include <gtest/gtest.h>
+#include <unistd.h>
+
+#include <cstdlib>
+#include <filesystem>
+#include <fstream>
+#include <string>
+
+#include "good_document.h"
+#include "node/beginning.h"
+#include "platform_document.h"
+
+namespace indigosaddle::config {
+namespace {
+
+using nlohmann::json;
+
+// A state folder with a last good file, and a start with another file.
+class StartWithLastGood : public ::testing::Test {
+ protected:
+  StartWithLastGood() {
+    std::string name = (std::filesystem::temp_directory_path() / "indigosaddle-start-XXXXXX").string();
+    folder_ = mkdtemp(name.data());
+  }
+  ~StartWithLastGood() override { std::filesystem::remove_all(folder_); }
+
+  node::Beginning Begin(const json& last_good, const json& file) {
+    std::ofstream(folder_ + "/platform.json") << last_good.dump();
+    std::ofstream(folder_ + "/config.json") << file.dump();
+    return node::Begin({{"EDGE_STATE", folder_}, {"EDGE_CONFIG", folder_ + "/config.json"}}, "");
+  }
+
+  std::string folder_;
+};
+
+// A last good file that no node could serve by turned a whole file down, and the node did not start.
+TEST_F(StartWithLastGood, OneThatCantBeUsedTurnsNoWholeFileDown) {
+  const json good = PlatformDocument();
+  json damaged = good;
+  damaged["settings"]["cbps"] = damaged["settings"]["caps"];
+  damaged["settings"].erase("caps");
+  node::Beginning beginning;
+  ASSERT_NO_THROW(beginning = Begin(damaged, good));
+  EXPECT_NE(beginning.trouble.find("settings.caps: is missing"), std::string::npos) << beginning.trouble;
+  EXPECT_EQ(json::parse(beginning.sources.platform.text), good);
+}
+
+}  // namespace
+}  // namespace indigosaddle::config
