A document of the platform's with an operator's part may follow itself

Callers saw: after a platform's document with the key "operator" was taken, every later one was refused, the same text included, with "operator: is missing; the settings in force have it".

Cause: the part was taken out of the new document before the comparison, but not out of the one in force.

Change: both are read by one function that takes it out.

Test: OddPlatformDocument.WithAnOperatorsPartMayFollowItself failed before and passes after.

--- a/src/config/layers.cpp
+++ b/src/config/layers.cpp
@@ -57,19 +57,24 @@
   return fmt::format("{}[{}]{}", path.substr(0, at), index, path.substr(at + 2));
 }
 
+// The operator's own part is no matter of the platform's, in whichever of its documents it stands.
+ParsedObject ParseWithoutOperators(const Source& source) {
+  ParsedObject parsed = ParseObject(source.text, source.name);
+  parsed.value.erase("operator");
+  return parsed;
+}
+
 // The platform's document over what is merged so far, or its faults.
 void ReadPlatform(const Sources& sources, Effective& e) {
   const std::string& name = sources.platform.name;
-  ParsedObject parsed = ParseObject(sources.platform.text, name);
+  ParsedObject parsed = ParseWithoutOperators(sources.platform);
   std::vector<Fault>& faults = parsed.faults;
   if (faults.empty()) {
-    parsed.value.erase("operator");  // the operator's own part is no matter of the platform's
     faults = CheckPlatformDocument(parsed.value, name,
                                    sources.operators.given ? Below::kOperatorsFile : Below::kNothing);
   }
   if (faults.empty() && sources.in_force.given) {
-    const ParsedObject in_force = ParseObject(sources.in_force.text, sources.in_force.name);
-    faults = MissingSince(in_force.value, parsed.value, name);
+    faults = MissingSince(ParseWithoutOperators(sources.in_force).value, parsed.value, name);
   }
   e.faults.insert(e.faults.end(), faults.begin(), faults.end());
   e.platform_usable = faults.empty();
--- a/tests/config/odd_platform_documents_test.cpp
+++ b/tests/config/odd_platform_documents_test.cpp
@@ -46,5 +46,14 @@
   EXPECT_EQ(json::parse(beginning.sources.platform.text), good);
 }
 
+// The operator's part is left out of the document, and must not be missed because the one in force has it
+// too.
+TEST(OddPlatformDocument, WithAnOperatorsPartMayFollowItself) {
+  json with_part = PlatformDocument();
+  with_part["operator"] = {{"log", {{"level", "debug"}}}};
+  EXPECT_EQ(FaultsOf(with_part, with_part), "");
+  EXPECT_EQ(FaultsOf(PlatformDocument(), with_part), "");
+}
+
 }  // namespace
 }  // namespace indigosaddle::config
