A null in the platform's document leaves the operator's value

Callers saw: at a first start with both files, "turnGap": null and "orgs": null in the platform's document wiped the operator's turn_gap and tenants: no rest of an order key, no shares.

Cause: the check takes a null for absent, but Merge put it in place of what is below, where the reader took it for the default.

Change: Merge skips a null, as the check does.

Test: OddPlatformDocument.ANullLeavesTheOperatorsValue failed before (turn_gap 0 for 5 s, no tenant) and passes after.

--- a/src/config/layers.cpp
+++ b/src/config/layers.cpp
@@ -13,8 +13,10 @@
 
 using nlohmann::json;
 
+// A null says nothing, so it leaves what is below it.
 void Merge(json& below, const json& over) {
   for (const auto& [name, value] : over.items()) {
+    if (value.is_null()) continue;
     if (value.is_object() && below.contains(name) && below[name].is_object()) {
       Merge(below[name], value);
     } else {
--- a/tests/config/odd_platform_documents_test.cpp
+++ b/tests/config/odd_platform_documents_test.cpp
@@ -55,5 +55,21 @@
   EXPECT_EQ(FaultsOf(PlatformDocument(), with_part), "");
 }
 
+// A null took the place of what the operator's file says, and was then read as the default: no rest of an
+// order key, no tenant's share.
+TEST(OddPlatformDocument, ANullLeavesTheOperatorsValue) {
+  std::string operators = kGood;
+  operators += "[return]\nturn_gap = \"5s\"\n[[tenants]]\nname = \"t\"\nquota = 4\n";
+  const auto with = [&](const char* platform) {
+    return node::MakeConfig({{true, "f.toml", operators}, {true, "p.json", platform}, {}});
+  };
+  const node::Config plain = with("{}");
+  ASSERT_GT(plain.settings.turn_gap, Micros(0));
+  ASSERT_TRUE(plain.tenants.contains("t"));
+  const node::Config nulls = with(R"({"settings":{"guarantees":{"turnGap":null},"orgs":null}})");
+  EXPECT_EQ(nulls.settings.turn_gap, plain.settings.turn_gap);
+  EXPECT_EQ(nulls.tenants, plain.tenants);
+}
+
 }  // namespace
 }  // namespace indigosaddle::config
