A time or size over 0 that the node rounds to 0 is refused

Callers saw: a deadline, a key's life or return.fall of 1e-9 ms was taken as over 0 and was 0 in force; limits.memory_mb and limits.disk_mb of 1e-9 came into force as 0 bytes.

Cause: the check looks at the number as written; the reader rounds to microseconds and bytes.

Change: what must be over 0 must be at least one microsecond or one byte; the fault says so.

Test: OddPlatformDocument.WithATimeThatRoundsToZeroIsRefused failed before for all five paths and passes after.

--- a/src/config/platform_document.cpp
+++ b/src/config/platform_document.cpp
@@ -17,8 +17,9 @@
 using nlohmann::json;
 
 constexpr std::size_t kMostText = 4096;
-constexpr std::size_t kMostShown = 80;     // characters of a value in its fault
-constexpr std::size_t kMostTables = 1000;  // of one list
+constexpr double kLeastTime = 1e-3, kLeastSize = 1e-6;  // what the node counts in: microseconds, bytes
+constexpr std::size_t kMostShown = 80;                  // characters of a value in its fault
+constexpr std::size_t kMostTables = 1000;               // of one list
 
 // A list of tables of the document.
 struct TableList {
@@ -41,6 +42,12 @@
   return fmt::format("{}", item.type == Type::kBytes ? item.most / kMegabyte : item.most);
 }
 
+// The least value over 0 that is not 0 to the node.
+double LeastOverZero(const Item& item) {
+  if (item.type == Type::kDuration) return kLeastTime;
+  return item.type == Type::kBytes ? kLeastSize : 0;
+}
+
 std::string ExpectedByPlatform(const Item& item, bool over_zero) {
   switch (item.type) {
     case Type::kText: return "a text in quotes";
@@ -56,7 +63,9 @@
     default: break;
   }
   const char* kind = item.type == Type::kInteger ? "a whole number" : "a number";
-  return fmt::format("{} {} 0, at most {}", kind, over_zero ? "over" : "from", Most(item));
+  const double least = over_zero ? LeastOverZero(item) : 0;
+  return fmt::format("{} {} 0{}, at most {}", kind, over_zero ? "over" : "from",
+                     least > 0 ? fmt::format(", at least {}", least) : "", Most(item));
 }
 
 bool IsWord(const Item& item, const json& value) {
@@ -71,7 +80,8 @@
   if (!value.is_number()) return false;
   const double number = value.get<double>();
   const double most = item.type == Type::kBytes ? item.most / 1e6 : item.most;
-  if (!(over_zero ? number > 0 : number >= 0) || number > most) return false;
+  const double least = over_zero ? LeastOverZero(item) : 0;
+  if (!(over_zero ? number > 0 : number >= 0) || number < least || number > most) return false;
   return item.type != Type::kInteger || std::trunc(number) == number;
 }
 
--- a/tests/config/odd_platform_documents_test.cpp
+++ b/tests/config/odd_platform_documents_test.cpp
@@ -71,5 +71,15 @@
   EXPECT_EQ(nulls.tenants, plain.tenants);
 }
 
+// A time over 0 that rounds to 0 came into force as 0.
+TEST(OddPlatformDocument, WithATimeThatRoundsToZeroIsRefused) {
+  for (const char* path : {"/settings/classes/0/deadline", "/settings/classes/0/keyTtl",
+                           "/settings/guarantees/fall", "/limits/memory_mb", "/limits/disk_mb"}) {
+    json odd = PlatformDocument();
+    odd[json::json_pointer(path)] = 1e-9;
+    EXPECT_NE(FaultsOf(odd, nullptr), "") << path;
+  }
+}
+
 }  // namespace
 }  // namespace indigosaddle::config
