A fault shows whole characters

Cause: the value was cut at a byte, which may lie within a character; such a text can't be written as JSON. The operator's file had the same cut.

Change: Excerpt cuts before the character that does not fit. Both places use it.

Test: OddPlatformDocument.AFaultShowsWholeCharacters failed before (json type_error 316) and passes after. The place in document.cpp has no test of its own.

--- a/src/config/document.cpp
+++ b/src/config/document.cpp
@@ -126,7 +126,7 @@
       const auto told = ToTold(*item, ToJson(node));
       if (!told) {
         std::string had = ToJson(node).is_null() ? KindOf(node) : ToJson(node).dump();
-        Say(node.source(), full, fmt::format("{}; expected {}", had.substr(0, 80), Expected(*item)));
+        Say(node.source(), full, fmt::format("{}; expected {}", Excerpt(had), Expected(*item)));
         continue;
       }
       document_.places[full] = PlaceOf(node.source());
--- a/src/config/document.h
+++ b/src/config/document.h
@@ -40,6 +40,9 @@
 std::vector<Fault> Contradictions(const nlohmann::json& told, const std::string& file,
                                   const std::map<std::string, Place>& places);
 
+// The beginning of a value's text as a fault shows it; no character of it is cut in two.
+std::string Excerpt(const std::string& text);
+
 // The places in a list whose name stands earlier in it too: "settings.classes[].name", "settings.zones[]".
 std::vector<std::size_t> Repeated(const nlohmann::json& told, std::string_view names);
 
--- a/src/config/document_checks.cpp
+++ b/src/config/document_checks.cpp
@@ -1,6 +1,7 @@
 // What a document says that can't hold together, though each value is good by itself.
 #include <fmt/format.h>
 
+#include <algorithm>
 #include <set>
 #include <utility>
 
@@ -11,6 +12,15 @@
 
 using nlohmann::json;
 
+std::string Excerpt(const std::string& text) {
+  constexpr std::size_t kMost = 80;                       // bytes
+  constexpr unsigned kTopBits = 0xC0, kFollowing = 0x80;  // of a byte of UTF-8 that begins no character
+  std::size_t end = std::min(kMost, text.size());
+  while (end > 0 && end < text.size() && (static_cast<unsigned char>(text[end]) & kTopBits) == kFollowing)
+    --end;
+  return text.substr(0, end);
+}
+
 std::vector<std::size_t> Repeated(const json& told, std::string_view names) {
   std::vector<std::size_t> places;
   const json* list = At(told, names.substr(0, names.find("[]")), 0);
--- a/src/config/platform_document.cpp
+++ b/src/config/platform_document.cpp
@@ -18,7 +18,6 @@
 
 constexpr std::size_t kMostText = 4096;
 constexpr double kLeastTime = 1e-3, kLeastSize = 1e-6;  // what the node counts in: microseconds, bytes
-constexpr std::size_t kMostShown = 80;                  // characters of a value in its fault
 constexpr std::size_t kMostTables = 1000;               // of one list
 
 // A list of tables of the document.
@@ -153,8 +152,7 @@
   }
   void Value(const Item& item, const json& value, const std::string& path, bool over_zero) {
     if (IsGood(item, value, over_zero)) return;
-    Say(path, fmt::format("{}; expected {}", value.dump().substr(0, kMostShown),
-                          ExpectedByPlatform(item, over_zero)));
+    Say(path, fmt::format("{}; expected {}", Excerpt(value.dump()), ExpectedByPlatform(item, over_zero)));
   }
 
   void PlainList(const Item& item, const std::string& path) {
--- a/tests/config/odd_platform_documents_test.cpp
+++ b/tests/config/odd_platform_documents_test.cpp
@@ -81,5 +81,14 @@
   }
 }
 
+// A value cut within a character can't be written as JSON: `config check --json` ended by an exception.
+TEST(OddPlatformDocument, AFaultShowsWholeCharacters) {
+  for (int before = 70; before < 84; ++before) {
+    json odd = PlatformDocument();
+    odd["settings"]["classes"][0]["effect"] = std::string(before, 'a') + "\u20ac\u20ac\u20ac";
+    EXPECT_NO_THROW(static_cast<void>(json(FaultsOf(odd, nullptr)).dump())) << before;
+  }
+}
+
 }  // namespace
 }  // namespace indigosaddle::config
