A document with very many faults is refused in few words

Cause: each entry had its fault, and each fault its own texts.

Test: OddPlatformDocument.WithManyFaultsIsRefusedInFewWords failed before and passes after.

--- a/src/config/platform_change.cpp
+++ b/src/config/platform_change.cpp
@@ -4,6 +4,7 @@
 #include <string_view>
 #include <utility>
 
+#include "config/fault_list.h"
 #include "config/platform_document.h"
 
 namespace indigosaddle::config {
@@ -44,7 +45,7 @@
 
 class Comparison {
  public:
-  explicit Comparison(const std::string& file) : file_(file) {}
+  explicit Comparison(const std::string& file) : faults_(file) {}
 
   void Objects(const json& old, const json& next, const std::string& path, bool lost_its_key = false) {
     for (const auto& [name, value] : old.items()) {
@@ -58,12 +59,10 @@
       }
     }
   }
-  std::vector<Fault> TakeFaults() { return std::move(faults_); }
+  std::vector<Fault> TakeFaults() { return faults_.Take(); }
 
  private:
-  void Say(const std::string& path, std::string what) {
-    faults_.push_back({file_, {}, path, std::move(what)});
-  }
+  void Say(const std::string& path, std::string what) { faults_.Add(path, std::move(what)); }
 
   bool SameKind(const json& old, const json& next, const std::string& path) {
     if (std::string_view(KindOf(old)) == KindOf(next)) return true;
@@ -100,8 +99,7 @@
     return common;
   }
 
-  const std::string& file_;
-  std::vector<Fault> faults_;
+  FaultList faults_;
 };
 
 }  // namespace
--- a/src/config/platform_document.cpp
+++ b/src/config/platform_document.cpp
@@ -8,6 +8,7 @@
 #include <string_view>
 #include <utility>
 
+#include "config/fault_list.h"
 #include "config/schema.h"
 #include "config/units.h"
 
@@ -100,7 +101,7 @@
 class Checker {
  public:
   Checker(const json& document, const std::string& file, Below below)
-      : document_(document), file_(file), alone_(below == Below::kNothing) {}
+      : document_(document), faults_(file), alone_(below == Below::kNothing) {}
 
   std::vector<Fault> Check() {
     for (const Item& item : PlatformSchema()) {
@@ -115,12 +116,12 @@
     for (const TableList& list : kTableLists) Tables(list);
     for (const SideBySide& pair : kSideBySide) Lengths(pair);
     ZoneInRange();
-    return std::move(faults_);
+    return faults_.Take();
   }
 
  private:
   void Say(const std::string& path, std::string what) {
-    if (said_.insert(path).second) faults_.push_back({file_, {}, path, std::move(what)});
+    if (faults_.full() || said_.insert(path).second) faults_.Add(path, std::move(what));
   }
 
   // The value at a dotted path below `root`; null where it is absent, which is a fault where it is required.
@@ -214,9 +215,8 @@
   }
 
   const json& document_;
-  const std::string& file_;
+  FaultList faults_;
   const bool alone_;
-  std::vector<Fault> faults_;
   std::set<std::string> said_;  // paths, each is said once
 };
 
--- a/src/config/strict_json.cpp
+++ b/src/config/strict_json.cpp
@@ -5,6 +5,8 @@
 #include <set>
 #include <utility>
 
+#include "config/fault_list.h"
+
 namespace indigosaddle::config {
 namespace {
 
@@ -13,7 +15,7 @@
 // Follows the parser's events, for what its result no longer shows.
 class Watcher {
  public:
-  explicit Watcher(const std::string& file) : file_(file) {}
+  explicit Watcher(const std::string& file) : faults_(file) {}
 
   bool On(int depth, json::parse_event_t event, const json& parsed) {
     if (depth > kDeepest) {
@@ -29,16 +31,13 @@
     }
     return true;
   }
-  std::vector<Fault> TakeFaults() { return std::move(faults_); }
+  std::vector<Fault> TakeFaults() { return faults_.Take(); }
 
  private:
-  void Say(const std::string& path, std::string what) {
-    faults_.push_back({file_, {}, path, std::move(what)});
-  }
+  void Say(const std::string& path, std::string what) { faults_.Add(path, std::move(what)); }
 
-  const std::string& file_;
   std::vector<std::set<std::string>> names_;  // of the objects that are open
-  std::vector<Fault> faults_;
+  FaultList faults_;
   bool too_deep_ = false;
 };
 
--- a/tests/config/odd_platform_documents_test.cpp
+++ b/tests/config/odd_platform_documents_test.cpp
@@ -90,5 +90,19 @@
   }
 }
 
+// Each of many odd entries had its fault, which took more memory than the node has.
+TEST(OddPlatformDocument, WithManyFaultsIsRefusedInFewWords) {
+  constexpr std::size_t kManyEntries = 100000, kFewWords = 20000;
+  json odd = PlatformDocument();
+  odd["settings"]["zones"] = json(kManyEntries, 0);
+  odd["settings"]["telemetry"]["columns"] = json(kManyEntries, 0);
+  EXPECT_NE(FaultsOf(odd, nullptr), "");
+  EXPECT_LT(FaultsOf(odd, nullptr).size(), kFewWords);
+  odd["settings"]["zones"] = PlatformDocument()["settings"]["zones"];
+  const std::string faults = FaultsOf(odd, PlatformDocument());
+  EXPECT_NE(faults, "");
+  EXPECT_LT(faults.size(), kFewWords);
+}
+
 }  // namespace
 }  // namespace indigosaddle::config
