A document of the platform's with a zero byte is refused

Callers saw: a whole object, a zero byte and anything behind it was taken, though the strict reader promises that nothing stands behind the object.

Cause: the parser takes a zero byte for the end of its input.

Change: a text with a zero byte is a fault before it is parsed.

Test: OddPlatformDocument.WithAZeroByteIsRefused failed before and passes after.

--- a/src/config/strict_json.cpp
+++ b/src/config/strict_json.cpp
@@ -45,6 +45,12 @@
 
 ParsedObject ParseObject(std::string_view text, const std::string& file) {
   ParsedObject parsed;
+  // The parser would take it for the end.
+  if (const std::size_t zero = text.find('\0'); zero != std::string_view::npos) {
+    parsed.faults.push_back(
+        {file, {}, "", fmt::format("expected one JSON object; byte {} is zero", zero + 1)});
+    return parsed;
+  }
   Watcher watcher(file);
   json whole;
   try {
--- a/tests/config/odd_platform_documents_test.cpp
+++ b/tests/config/odd_platform_documents_test.cpp
@@ -104,5 +104,12 @@
   EXPECT_LT(faults.size(), kFewWords);
 }
 
+// The parser takes a zero byte for the end of the text, so that whatever stood behind it was not read.
+TEST(OddPlatformDocument, WithAZeroByteIsRefused) {
+  const std::string text = PlatformDocument().dump();
+  EXPECT_NE(FaultsOf(text + std::string(1, '\0'), nullptr), "");
+  EXPECT_NE(FaultsOf(text + std::string(1, '\0') + "{\"settings\"", nullptr), "");
+}
+
 }  // namespace
 }  // namespace indigosaddle::config
