The last good file is looked for in the folder that the operator's file names, too

Callers saw: where the operator's file and not EDGE_STATE names the state folder, a start whose platform's file was turned down ended, though the folder keeps a last good file.

Cause: a new file is held against the last good one of the folder that the sources name; the last good one to serve by was looked for in EDGE_STATE alone. So a file could be turned down with nothing to serve by.

Change: both ask the same function for the folder.

Test: StartWithLastGood.InAFolderThatTheOperatorsFileNamesItServes failed before ("settings.goal: is missing; the settings in force have it" was thrown) and passes after.

--- a/src/node/beginning.cpp
+++ b/src/node/beginning.cpp
@@ -65,16 +65,17 @@
 // The platform's last good file in place of the one that can't be used; nothing where there is none.
 std::optional<config::Sources> LastGoodSources(const std::map<std::string, std::string>& environment,
                                                const std::string& operators_path) {
-  const auto folder = environment.find("EDGE_STATE");
   const auto named = environment.find("EDGE_CONFIG");
-  if (folder == environment.end() || named == environment.end() || named->second.empty()) return std::nullopt;
-  const std::optional<std::string> text = LastGoodFile(folder->second).Load();
-  if (!text) return std::nullopt;
+  if (named == environment.end() || named->second.empty()) return std::nullopt;
   auto without_platform = environment;
   without_platform.erase("EDGE_CONFIG");
   config::Sources sources;
   if (!operators_path.empty()) sources = ReadSources(without_platform, operators_path);
   sources.environment = environment;
+  const std::string folder = FolderOf(sources);
+  if (folder.empty()) return std::nullopt;
+  const std::optional<std::string> text = LastGoodFile(folder).Load();
+  if (!text) return std::nullopt;
   sources.platform = {true, kLastGoodName, *text};
   return sources;
 }
--- a/tests/config/odd_platform_documents_test.cpp
+++ b/tests/config/odd_platform_documents_test.cpp
@@ -111,5 +111,24 @@
   EXPECT_NE(FaultsOf(text + std::string(1, '\0') + "{\"settings\"", nullptr), "");
 }
 
+// The folder that the operator's file names was looked in for the file to hold a new one against, but not for
+// the file to serve by: a start whose platform's file was turned down ended.
+TEST_F(StartWithLastGood, InAFolderThatTheOperatorsFileNamesItServes) {
+  std::string operators = kGood;
+  const std::string usual = "\"/tmp\"";
+  operators.replace(operators.find(usual), usual.size(), "\"" + folder_ + "\"");
+  std::ofstream(folder_ + "/operators.toml") << operators;
+  json last_good = PlatformDocument(), cut = last_good;
+  last_good.erase("known");
+  cut["settings"].erase("goal");
+  std::ofstream(folder_ + "/platform.json") << last_good.dump();
+  std::ofstream(folder_ + "/config.json") << cut.dump();
+  node::Beginning beginning;
+  ASSERT_NO_THROW(beginning =
+                      node::Begin({{"EDGE_CONFIG", folder_ + "/config.json"}}, folder_ + "/operators.toml"));
+  EXPECT_NE(beginning.trouble.find("settings.goal: is missing"), std::string::npos) << beginning.trouble;
+  EXPECT_EQ(json::parse(beginning.sources.platform.text), last_good);
+}
+
 }  // namespace
 }  // namespace indigosaddle::config
