Repeats: a first run that is still to come opens no window

Callers would see: where the folder's file `clock` was lost and the wall clock had been stepped back meanwhile, a keyed message that may have run before the restart was sent again long after receivers had forgotten its key (rule 2): its window ran from an instant in the future.

Cause: RepeatUntil took the record's instant as it stood. It is in node time, and node time had begun anew.

Change: a first run after now is at no known time, so the key's life counts as over. A first run of this process is never after now.

Tests: Resumed.AKeyedMessageThatRanInTheFutureGoesNotAgain failed before and passes, with a first run of this very instant beside it, which goes again.

--- a/src/brain/claims.h
+++ b/src/brain/claims.h
@@ -24,9 +24,11 @@
     return use.Add(now_) > kOverShare * share + 1 / Seconds(kTakenSpan);
   }
 
-  // When the key of a message that may have run is no longer sure to be remembered.
+  // When the key of a message that may have run is no longer sure to be remembered: past already where its
+  // first run is still to come, for then nobody knows when that was.
   Micros RepeatUntil(const Held& held) const {
     if (!held.message.past.may_have_run || held.message.rules.effect != Effect::kKeyed) return Micros::max();
+    if (held.message.past.first_run > now_) return Micros::min() / 2;
     const Micros life = held.message.rules.key_ttl;
     return held.message.past.first_run +
            std::min(ToMicros(Seconds(life) * kKeyLifeUsed), life - kLeastKeyLifeLeft);
--- a/tests/brain_resumed_test.cpp
+++ b/tests/brain_resumed_test.cpp
@@ -47,6 +47,20 @@
   EXPECT_EQ(node.answers[2], 1);
 }
 
+// The folder's file `clock` was lost and the wall clock had been stepped back: a first run that is still to
+// come says nothing of when the key's life ends, which may be over.
+TEST(Resumed, AKeyedMessageThatRanInTheFutureGoesNotAgain) {
+  TestNode node(BaseSettings());
+  node.Turn(seconds(30), [&] {
+    node.List({TestNode::At(1, "a")});
+    node.Give(Resumed(1, {1, true, seconds(30) + Micros(1), 0}));
+    node.Give(Resumed(2, {1, true, seconds(30), 0}));
+  });
+  EXPECT_EQ(node.CountSends(1), 0);
+  EXPECT_EQ(node.answers[1], 1);
+  EXPECT_EQ(node.CountSends(2), 1);
+}
+
 TEST(Resumed, AttemptsBeforeTheRestartCount) {
   Settings settings = BaseSettings();
   settings.max_attempts = 4;
