Clock file: an origin that is not whole is none

Cause: the numbers were taken as they came.

Change: NodeClock::Load yields a whole origin or nothing: both numbers in their ranges, nothing behind the end. Nothing means what a missing file means: node time begins at the wall clock. The form is as it was.

Tests: ClockFile.AnOddLineIsNoOrigin failed before (three texts read as an origin, then a signed overflow) and passes; node_parts_test 24 of 24.

--- a/src/node/node_clock.cpp
+++ b/src/node/node_clock.cpp
@@ -4,7 +4,9 @@
 #include <uv.h>
 
 #include <chrono>
+#include <cstdint>
 #include <fstream>
+#include <limits>
 
 #include "base/replace_file.h"
 
@@ -12,6 +14,7 @@
 namespace {
 
 constexpr const char* kBootIdPath = "/proc/sys/kernel/random/boot_id";
+constexpr std::int64_t kMostNodeTime = std::numeric_limits<std::int64_t>::max() / 2;  // microseconds
 
 Micros Monotonic() { return std::chrono::duration_cast<Micros>(std::chrono::nanoseconds(uv_hrtime())); }
 
@@ -31,21 +34,20 @@
 NodeClock::NodeClock(net::Loop& loop, const std::string& folder) : loop_(loop), path_(folder + "/clock") {
   const Micros monotonic = Monotonic();
   const std::string boot = BootId();
-  Origin before;
-  continued_ = !boot.empty() && Load(before) && before.boot == boot && before.monotonic <= monotonic;
-  origin_ = continued_ ? before : Origin{boot, monotonic, Wall()};
+  const auto before = Load();
+  continued_ = !boot.empty() && before && before->boot == boot && before->monotonic <= monotonic;
+  origin_ = continued_ ? *before : Origin{boot, monotonic, Wall()};
   saved_ = continued_;
   loop_.SetTime(origin_.node_time + (monotonic - origin_.monotonic));
 }
 
-bool NodeClock::Load(Origin& origin) const {
+std::optional<NodeClock::Origin> NodeClock::Load() const {
   std::ifstream file(path_);
+  std::string boot, end, more;
   std::int64_t monotonic = 0, node_time = 0;
-  std::string end;
-  if (!(file >> origin.boot >> monotonic >> node_time >> end) || end != "end") return false;
-  origin.monotonic = Micros(monotonic);
-  origin.node_time = Micros(node_time);
-  return true;
+  const bool whole = (file >> boot >> monotonic >> node_time >> end) && end == "end" && !(file >> more);
+  if (!whole || monotonic < 0 || node_time <= 0 || node_time > kMostNodeTime) return std::nullopt;
+  return Origin{boot, Micros(monotonic), Micros(node_time)};
 }
 
 bool NodeClock::Save() {
--- a/src/node/node_clock.h
+++ b/src/node/node_clock.h
@@ -8,6 +8,7 @@
 // written anew.
 #pragma once
 
+#include <optional>
 #include <string>
 
 #include "brain.h"
@@ -30,7 +31,7 @@
     std::string boot;  // the kernel's id of the boot
     Micros monotonic{0}, node_time{0};
   };
-  bool Load(Origin& origin) const;
+  std::optional<Origin> Load() const;  // nothing where the file is not whole, or a value is out of its range
 
   net::Loop& loop_;
   std::string path_;
