Zones that the settings do not have are no longer one zone

Callers would see: a keyed message whose repeats are dropped only within a zone could be repeated in another zone, where both sites are unknown to the settings or the list names none: a second effect.

Cause: NumberOf gives -1 for every unknown name, and the zone bound compares numbers. (A restart has its own number for that, which matches nothing.)

Change: each site that the settings do not have has a number of its own, and so has each endpoint for which the list names no site (src/node/zone_numbers.h). Zones that are lost by agreement are always names of the settings, so nothing else compares with -1.

Why it works: two numbers are equal only where the names are, or the endpoint is the same.

Seen to fail before (with the old lookup in the new class): ZoneNumbers.SitesThatTheSettingsDoNotHaveAreZonesOfTheirOwn, AnEndpointWithoutASiteIsAZoneOfItsOwn.

--- a/src/node/node.h
+++ b/src/node/node.h
@@ -27,6 +27,7 @@
 #include "node/node_clock.h"
 #include "node/repeated_event.h"
 #include "node/watch.h"
+#include "node/zone_numbers.h"
 #include "state/reducer.h"
 
 namespace indigosaddle::node {
@@ -148,6 +149,7 @@
   NodeClock clock_;  // before all that reads the loop's time
   JournalFile journal_;
   MessageRules rules_;
+  ZoneNumbers zone_numbers_;  // of listed endpoints
   state::State state_;
   std::unique_ptr<Brain> brain_;
   std::unique_ptr<Watcher> watcher_;  // null: nothing is watched
--- a/src/node/node_events.cpp
+++ b/src/node/node_events.cpp
@@ -53,8 +53,8 @@
   event.unsure = std::move(news.unsure);
   for (net::Member& member : news.members) {
     state::Listed listed;
+    listed.endpoint.zone = zone_numbers_.Of(config_.zones, member.site, member.host);
     listed.endpoint.id = std::move(member.host);
-    listed.endpoint.zone = NumberOf(config_.zones, member.site);
     listed.endpoint.kind = NumberOf(config_.kinds, member.kind);
     listed.endpoint.destination = member.block;
     listed.endpoint.weight = member.share;
--- /dev/null
+++ b/tests/node_zone_numbers_test.cpp
@@ -0,0 +1,36 @@
+// Which listed endpoints count as of one zone.
+#include <gtest/gtest.h>
+
+#include <map>
+#include <set>
+#include <string>
+
+#include "node/zone_numbers.h"
+
+namespace indigosaddle::node {
+namespace {
+
+const std::map<std::string, int> kZones = {{"a", 0}, {"b", 1}};
+
+// All sites that the settings do not have were one zone: a keyed message whose repeats only its zone drops
+// was repeated in another one.
+TEST(ZoneNumbers, SitesThatTheSettingsDoNotHaveAreZonesOfTheirOwn) {
+  ZoneNumbers zones;
+  EXPECT_EQ(zones.Of(kZones, "a", "s-1"), 0);
+  EXPECT_EQ(zones.Of(kZones, "b", "s-2"), 1);
+  const int c = zones.Of(kZones, "c", "s-3"), d = zones.Of(kZones, "d", "s-4");
+  EXPECT_EQ((std::set<int>{0, 1, kUnknownZone, c, d}).size(), 5u);
+  EXPECT_EQ(zones.Of(kZones, "c", "s-5"), c);
+}
+
+// The same for endpoints of which the list names no site.
+TEST(ZoneNumbers, AnEndpointWithoutASiteIsAZoneOfItsOwn) {
+  ZoneNumbers zones;
+  const int one = zones.Of(kZones, "", "s-1"), other = zones.Of(kZones, "", "s-2");
+  const int named = zones.Of(kZones, "s-1", "s-3");
+  EXPECT_EQ((std::set<int>{0, 1, kUnknownZone, one, other, named}).size(), 6u);
+  EXPECT_EQ(zones.Of(kZones, "", "s-1"), one);
+}
+
+}  // namespace
+}  // namespace indigosaddle::node
