Lists: of a name that an object gives twice neither is believed

Callers would see: `"health":"Terminating"` and `"health":"Ready"` in one entry made the endpoint ready; of two `seq`, `whole` or `hosts` the last held.

Cause: the JSON parser keeps the last of two.

Change: ParseOnce (src/net/json_once.h) marks such an object and leaves nothing else of it but its host: an entry is then one that can't be read, a list none. A look at the names as written comes first, so that a good list pays no slower parser.

Why it works: that look says no only where no object repeats a name; a name with an escape, or braces that do not match, go to the parser that hears of each name unescaped.

Seen to fail before: OddList.AnEntryWithAPartGivenTwiceIsUnsure, AListWithAPartGivenTwiceIsNone. After: net_test 59 passed.

--- a/src/net/member_list.cpp
+++ b/src/net/member_list.cpp
@@ -9,6 +9,7 @@
 #include <utility>
 
 #include "net/address.h"
+#include "net/json_once.h"
 
 namespace indigosaddle::net {
 namespace {
@@ -51,6 +52,7 @@
   if (host.empty()) return "no host";
   if (!IsHost(host)) return "a host that is not visible ASCII";
   member.host = std::move(host);
+  if (entry.contains(kTwice)) return "a part given twice";
   member.dial = Text(entry, "dial");
   member.site = Text(entry, "site");
   member.kind = Text(entry, "class");
@@ -124,8 +126,8 @@
 }  // namespace
 
 std::optional<MemberNews> ParseMembers(std::string_view text) {
-  const json whole = json::parse(text, nullptr, false);
-  if (!whole.is_object()) return std::nullopt;
+  const json whole = ParseOnce(text);
+  if (!whole.is_object() || whole.contains(kTwice)) return std::nullopt;
   const auto version = whole.find("seq"), full = whole.find("whole"), hosts = whole.find("hosts");
   if (version == whole.end() || !version->is_number_unsigned()) return std::nullopt;
   if (full == whole.end() || !full->is_boolean()) return std::nullopt;
--- a/tests/net_odd_list_test.cpp
+++ b/tests/net_odd_list_test.cpp
@@ -116,6 +116,35 @@
   }
 }
 
+// Of a part that is given twice the last was believed: Terminating, then Ready.
+TEST(OddList, AnEntryWithAPartGivenTwiceIsUnsure) {
+  for (const std::string twice : {R"("health":"Terminating")", R"("health":"Ready")",
+                                  R"("dial":"127.0.0.1:8")", R"("block":4)", R"("share":9)"}) {
+    for (const std::string& entry :
+         {"{" + twice + "," + Entry().substr(1), Entry().substr(0, Entry().size() - 1) + "," + twice + "}"}) {
+      const MemberNews news = Change(entry + "," + Entry("host", R"("s-2")"));
+      EXPECT_EQ(news.unsure, std::vector<std::string>{"s-1"}) << entry;
+      ASSERT_EQ(news.members.size(), 1u) << entry;
+    }
+  }
+  const MemberNews news = Change(R"({"host":"s-3",)" + Entry().substr(1));
+  EXPECT_TRUE(news.unsure.empty());  // one of two, and which is not known
+  EXPECT_TRUE(news.members.empty());
+  EXPECT_TRUE(news.incomplete);
+}
+
+// The same of the list itself.
+TEST(OddList, AListWithAPartGivenTwiceIsNone) {
+  for (const std::string odd : {R"({"seq":40,"seq":41,"whole":true,"hosts":[]})",
+                                R"({"seq":41,"whole":false,"whole":true,"hosts":[]})",
+                                R"({"seq":41,"whole":true,"hosts":[{}],"hosts":[]})"}) {
+    EXPECT_FALSE(ParseMembers(odd)) << odd;
+  }
+  EXPECT_FALSE(ParseMembers(R"({"seq":41,"whole":true,"s\u0065q":40,"hosts":[]})"));  // the same name
+  EXPECT_TRUE(ParseMembers(R"({"seq":41,"x\\":{},"x\"":"}","whole":true,"hosts":[]})"));
+  EXPECT_TRUE(ParseMembers(R"({"seq":41,"x":{"seq":1,"whole":1},"whole":true,"hosts":[]})"));
+}
+
 // Nothing is decided by when an endpoint started: whatever stands there, the entry is used.
 TEST(OddList, WhenAnEndpointStartedDecidesNothing) {
   for (const std::string odd : {"", "null", "-1", R"("x")", "1e300"}) {
