--- a/tests/node_slow_start_test.cpp
+++ b/tests/node_slow_start_test.cpp
@@ -81,7 +81,8 @@
     process_.config["name"] = "n" + std::to_string(number);
     auto& settings = process_.config["settings"];
     settings["balancers"] = senders;
-    settings["guarantees"] = {{"coldFrom", kColdFrom},
+    settings["guarantees"] = {{"mustAskIn", 0.0},
+                              {"coldFrom", kColdFrom},
                               {"cold", milliseconds(kCold).count()},
                               {"fall", milliseconds(kFall).count()},
                               {"overloadFactor", kOverload}};
