A list of over 1000 plain values in the platform's document is refused at once

Cause: lists of tables have a most, lists of plain values had none.

Change: both have the same.

Test: OddPlatformDocument.WithAVeryLongListIsRefused failed before and passes after.

--- a/src/config/platform_document.cpp
+++ b/src/config/platform_document.cpp
@@ -19,7 +19,7 @@
 
 constexpr std::size_t kMostText = 4096;
 constexpr double kLeastTime = 1e-3, kLeastSize = 1e-6;  // what the node counts in: microseconds, bytes
-constexpr std::size_t kMostTables = 1000;               // of one list
+constexpr std::size_t kMostEntries = 1000;              // of one list, also of plain values
 
 // A list of tables of the document.
 struct TableList {
@@ -160,7 +160,8 @@
     const bool required = alone_ && item.platform.presence == Presence::kRequired;
     const json* list = Lookup(document_, "", path, required);
     if (list == nullptr) return;
-    if (!list->is_array()) return Say(path, "expected a list");
+    if (!list->is_array() || list->size() > kMostEntries)
+      return Say(path, fmt::format("expected a list of at most {} values", kMostEntries));
     for (std::size_t i = 0; i < list->size(); ++i) Value(item, (*list)[i], fmt::format("{}[{}]", path, i));
     if (item.type == Type::kText) NamedTwice(path, path + "[]");
   }
@@ -169,8 +170,8 @@
     const std::string path(of.path);
     const json* list = Lookup(document_, "", path, alone_ && of.required);
     if (list == nullptr) return;
-    if (!list->is_array() || list->size() > kMostTables || (of.required && list->empty())) {
-      return Say(path, fmt::format("expected a list of {} to {} objects", of.required ? 1 : 0, kMostTables));
+    if (!list->is_array() || list->size() > kMostEntries || (of.required && list->empty())) {
+      return Say(path, fmt::format("expected a list of {} to {} objects", of.required ? 1 : 0, kMostEntries));
     }
     for (std::size_t i = 0; i < list->size(); ++i) Table(path, (*list)[i], i);
     NamedTwice(path, path + "[].name");
--- a/tests/config/odd_platform_documents_test.cpp
+++ b/tests/config/odd_platform_documents_test.cpp
@@ -130,5 +130,15 @@
   EXPECT_EQ(json::parse(beginning.sources.platform.text), last_good);
 }
 
+// A list of plain values had no most, so that one of millions held the node up for seconds.
+TEST(OddPlatformDocument, WithAVeryLongListIsRefused) {
+  constexpr std::size_t kLong = 1001;
+  json odd = PlatformDocument();
+  odd["settings"]["familyInfo"]["zoneFee"] = json(kLong, 0.0);
+  for (std::size_t i = odd["settings"]["zones"].size(); i < kLong; ++i)
+    odd["settings"]["zones"].push_back(std::to_string(i));
+  EXPECT_NE(FaultsOf(odd, nullptr).find("settings.zones: expected a list"), std::string::npos);
+}
+
 }  // namespace
 }  // namespace indigosaddle::config
