Fixtures with other zones tell a fee for each

Cause: a document whose lists don't stand beside one another is refused now; two fixtures changed zones and not zoneFee. Result: RandomSettings.EachClassIsDelivered hung (its draws were refused), Repeats.AKeyThatOneZoneKnows* failed at its start.

--- a/tests/node_held_up_test.cpp
+++ b/tests/node_held_up_test.cpp
@@ -78,6 +78,7 @@
   EndpointStandIn near([this](Socket& s, const HttpRequest& r, int) { return Fails(s, r); });
   EndpointStandIn far([this](Socket& s, const HttpRequest&, int) { return s.Write(Answer(200)); });
   node.config["settings"]["zones"] = {"z", "y"};
+  node.config["settings"]["familyInfo"]["zoneFee"] = {0.0, 0.0};
   node.config["settings"]["classes"][0]["group"] = "zone";
   platform.Set(PlatformStandIn::Member("s-1", near.address(), 7));
   ASSERT_TRUE(node.Start());
--- a/tests/node_random_settings_test.cpp
+++ b/tests/node_random_settings_test.cpp
@@ -72,6 +72,7 @@
     settings["overShareWorth"] = Number(0, 100) / 100;
     settings["a_key_that_nobody_knows"] = {{"x", 1}};  // passed over
     settings["zones"] = zones;
+    settings["familyInfo"]["zoneFee"] = std::vector<double>(zones.size(), 0.0);
     settings["zone"] = *rc::gen::inRange<std::size_t>(0, zones.size());
     settings["machineTypes"] = kinds;
     settings["familyInfo"]["perCall"] = Json::array();
