Control socket: a request that lacks its part is refused, not read as another

Callers would see: apply without a document was judged as an empty operator's file, rollback to an odd generation as a rollback to the one before. Cause: absent and odd read as the default. Change: both are answered with what they take. Result: RefusedFilesBesideOperators.ARequestThatLacksAPartIsNoOtherRequest passes; it was not run against the text before.

--- a/src/node/changes_requests.cpp
+++ b/src/node/changes_requests.cpp
@@ -18,6 +18,14 @@
                                                 : "";
 }
 
+// What is asked, but can't be done as it is written; empty: nothing.
+std::string Missing(const json& request, const std::string& op) {
+  if (op == "apply" && !request.value("document", json()).is_string()) return "apply takes a document";
+  if (op == "rollback" && request.contains("generation") && !request["generation"].is_number_unsigned())
+    return "rollback takes the number of a generation, or none for the one before";
+  return "";
+}
+
 }  // namespace
 
 std::uint64_t Changes::Ticket(const Answer& answer) {
@@ -32,6 +40,10 @@
     answer({{"ok", false}, {"text", "the node has no operator's file: start it with --config"}});
     return true;
   }
+  if (const std::string missing = Missing(request, op); !missing.empty()) {
+    answer({{"ok", false}, {"text", missing}});
+    return true;
+  }
   if (op == "apply") {
     config::Proposal proposal;
     proposal.ticket = Ticket(answer);
@@ -41,8 +53,7 @@
     proposal.wait = request.value("wait", json(false)) == json(true);
     Feed(config::Proposed{Judged(std::move(proposal)), loop_.Now()});
   } else if (op == "rollback") {
-    const json number = request.value("generation", json(0));
-    Feed(config::RollbackAsked{Ticket(answer), number.is_number_unsigned() ? number.get<std::uint64_t>() : 0,
+    Feed(config::RollbackAsked{Ticket(answer), request.value("generation", std::uint64_t{0}),
                                Ask(request, "author").substr(0, 64), Ask(request, "reason").substr(0, 256),
                                loop_.Now()});
   } else if (op == "history") {
--- a/tests/node_refused_files_test.cpp
+++ b/tests/node_refused_files_test.cpp
@@ -129,6 +129,18 @@
   EXPECT_EQ(node.log().find("config.on_trial"), std::string::npos);
 }
 
+// A request without a document was judged as an empty one, and an odd number of a generation as none.
+TEST_F(RefusedFilesBesideOperators, ARequestThatLacksAPartIsNoOtherRequest) {
+  ASSERT_TRUE(node.Start());
+  for (const Json& request :
+       {Json{{"op", "apply"}}, Json{{"op", "apply"}, {"document", 5}},
+        Json{{"op", "rollback"}, {"generation", "3"}}, Json{{"op", "rollback"}, {"generation", -1}}}) {
+    const Json reply = ControlStandIn(node).Ask(request);
+    EXPECT_EQ(reply.at("ok"), false) << request;
+    EXPECT_NE(reply.at("text").get<std::string>().find(" takes "), std::string::npos) << reply;
+  }
+}
+
 // What the operator's file says of a value is no stand-in for the platform's word that it replaced.
 TEST_F(RefusedFilesBesideOperators, TheOperatorsValueIsNoneForOneThatThePlatformLeavesOut) {
   ASSERT_TRUE(node.Start());
