--- a/src/config/platform_change.cpp
+++ b/src/config/platform_change.cpp
@@ -50,7 +50,7 @@
   void Objects(const json& old, const json& next, const std::string& path, bool lost_its_key = false) {
     for (const auto& [name, value] : old.items()) {
       if (value.is_null() || (lost_its_key && OfTheKey(name))) continue;
-      const std::string at = path.empty() ? name : path + "." + name;
+      const std::string at = path.empty() ? name : fmt::format("{}.{}", path, name);
       const auto it = next.find(name);
       if (it == next.end() || it->is_null()) {
         Say(at, "is missing; the settings in force have it");
--- a/src/config/platform_document.cpp
+++ b/src/config/platform_document.cpp
@@ -189,14 +189,15 @@
       const bool required = item.platform.presence == Presence::kRequired || (with_key && keyed);
       const json* value = Lookup(table, path, name, required);
       const bool over_zero = item.platform.over_zero && (!with_key || keyed);
-      if (value != nullptr) Value(item, *value, path + "." + name, over_zero);
+      if (value != nullptr) Value(item, *value, fmt::format("{}.{}", path, name), over_zero);
     }
   }
 
   void NamedTwice(const std::string& list, const std::string& names) {
-    for (const std::size_t index : Repeated(document_, names))
+    for (const std::size_t index : Repeated(document_, names)) {
       Say(fmt::format("{}[{}]", list, index),
           fmt::format("{} is named twice", At(document_, names, index)->dump()));
+    }
   }
 
   void Lengths(const SideBySide& pair) {
--- a/src/fleet/sites.cpp
+++ b/src/fleet/sites.cpp
@@ -4,6 +4,7 @@
 #include <array>
 #include <charconv>
 #include <cmath>
+#include <iterator>
 
 namespace indigosaddle::fleet {
 namespace {
@@ -39,8 +40,9 @@
 
 std::string MemberSight::Text() const {
   const bool so[] = {touch, list, clients};
+  static_assert(std::size(so) == kFlags.size());
   std::string text;
-  for (std::size_t i = 0; i < kFlags.size(); ++i) text += so[i] ? kFlags[i] : kNotSo;
+  for (std::size_t i = 0; i < std::size(so); ++i) text += so[i] ? kFlags[i] : kNotSo;
   for (const std::string& site : unseen) text += "\n" + site;
   return text;
 }
