The end of a client's connection leaves where it is decided, not in a later pass of the loop

What callers could see: a request written whole to an open connection, and the connection's end without an answer. Whatever came meanwhile was read and dropped. Change: with nothing left to write the system is told at once. Evidence: RespEndings.TheEndLeavesAsItIsDecidedNotInALaterPass fails without the change (no end before the loop turns) and passes with it.

--- a/src/net/stream.cpp
+++ b/src/net/stream.cpp
@@ -151,7 +151,14 @@
   return error;
 }
 
+// The system is told at once: by libuv's own way a later pass of the loop tells it, and what the other side
+// writes until then goes unanswered.
 int Stream::EndSending() {
+  uv_os_fd_t descriptor = -1;
+  if (handle_->unwritten == 0 &&
+      uv_fileno(reinterpret_cast<const uv_handle_t*>(&handle_->tcp), &descriptor) == 0) {
+    return shutdown(descriptor, SHUT_WR) == 0 ? 0 : uv_translate_sys_error(errno);
+  }
   return uv_shutdown(&handle_->end, reinterpret_cast<uv_stream_t*>(&handle_->tcp),
                      [](uv_shutdown_t*, int) {});
 }
--- a/tests/resp_server_endings_test.cpp
+++ b/tests/resp_server_endings_test.cpp
@@ -173,5 +173,17 @@
   EXPECT_EQ(server->connections(), 0u);  // and does not linger for long
 }
 
+// Guards against a request that is written between the node's decision to end a resting connection and the
+// end on the wire: its client would take it for read.
+TEST_F(RespEndings, TheEndLeavesAsItIsDecidedNotInALaterPass) {
+  Serve(100);
+  const Socket resting = Connect();
+  ASSERT_TRUE(resting.Write(kPing));
+  ASSERT_EQ(Next(resting), "+PONG\r\n");
+  server->CloseQuiet(false);  // and the loop does not turn
+  char byte = 0;
+  EXPECT_EQ(recv(resting.get(), &byte, 1, MSG_DONTWAIT), 0);
+}
+
 }  // namespace
 }  // namespace indigosaddle::testing
