Who lingers is not closed over bytes that a held-up node has not read

What callers could see: a reset behind their last reply. Change: what has come is read and dropped before the close. Evidence: RespEndings.WhoLingeredThroughAHoldUpIsNotReset fails without the change (EPIPE, a reset) and passes with it.

--- a/src/net/resp_connection.cpp
+++ b/src/net/resp_connection.cpp
@@ -59,6 +59,7 @@
   const Micros quiet = now - quiet_since_;
   if (lingering_) {
     if (quiet < (linger_end_ == ClientEnd::kTurnedAway ? resp::kLinger : resp::kDepart)) return;
+    Discard();  // a node that was held up has not read it yet
     server_.Drop(id_, linger_end_);
   } else if (stream_.unwritten() > 0) {
     if (quiet >= resp::kUntaken) server_.Drop(id_, ClientEnd::kUntaken);
--- a/tests/resp_server_endings_test.cpp
+++ b/tests/resp_server_endings_test.cpp
@@ -185,5 +185,27 @@
   EXPECT_EQ(recv(resting.get(), &byte, 1, MSG_DONTWAIT), 0);
 }
 
+// Guards against a reset of who lingers: a node that was held up closes it for its time before it reads.
+TEST_F(RespEndings, WhoLingeredThroughAHoldUpIsNotReset) {
+  Serve(100);
+  const Socket resting = Connect();
+  ASSERT_TRUE(resting.Write(kPing));
+  ASSERT_EQ(Next(resting), "+PONG\r\n");
+  server->CloseQuiet(false);
+  ASSERT_EQ(Next(resting), "ended");
+  std::this_thread::sleep_for(milliseconds(150));  // less than it may linger: then held up
+  Step();
+  std::this_thread::sleep_for(milliseconds(150));
+  ASSERT_TRUE(resting.Write(kPing));
+  for (int step = 0; step < 500 && server->connections() > 0; ++step)
+    Step(1), std::this_thread::sleep_for(milliseconds(1));
+  ASSERT_EQ(server->connections(), 0u);
+  Step();
+  int error = 0;
+  socklen_t size = sizeof error;
+  getsockopt(resting.get(), SOL_SOCKET, SO_ERROR, &error, &size);
+  EXPECT_EQ(error, 0) << "reset";
+}
+
 }  // namespace
 }  // namespace indigosaddle::testing
