Who is admitted or heard of late in a stop is read before time cuts anyone off

What fits it, and is shown alone: where the first step behind the end of intake came late (held up, or accept failing), that same step admitted who waited in the listener's queue and, time being over, ended them with their requests unread. Change: time cuts nobody off before a whole pass of the loop behind the first step has read what lay there; out of time only those are read no further who were answered before and go on sending; the listener is emptied up to the last call at 3.2 s, which alone ends everyone, replies taken or not. The list's watch ends with intake. The soak tells how a request was lost and the phases of its node.

--- a/src/net/resp_connection.cpp
+++ b/src/net/resp_connection.cpp
@@ -34,12 +34,21 @@
   Linger(end);
 }
 
-void RespServer::Connection::Refuse(bool at_once) {
-  if (lingering_ || leaving_) return;
-  const bool newcomer = !asked() && server_.loop_.Now() - since_ < resp::kFirstCommand;
-  const bool within = !reader_.between_commands();
-  if (!at_once && (unread() || (newcomer && !within))) return;
-  if (within) return Leave("-BUSY\r\n", ClientEnd::kRefused);
+bool RespServer::Connection::Newcomer() const {
+  return !asked() && reader_.between_commands() && server_.loop_.Now() - since_ < resp::kFirstCommand;
+}
+
+void RespServer::Connection::Refuse(RefusalPace pace) {
+  if (lingering_) return;
+  const bool last = pace == RefusalPace::kLastCall;
+  if (leaving_) {  // its last reply is not taken
+    if (last) Linger(linger_end_);
+    return;
+  }
+  const bool heard = pace != RefusalPace::kReadFirst && asked();
+  if (!last && !heard && unread()) return;
+  if (!last && Newcomer()) return;
+  if (!reader_.between_commands()) return Leave("-BUSY\r\n", ClientEnd::kRefused);
   leaving_ = true;
   linger_end_ = ClientEnd::kStopping;
   stream_.StopReading();
--- a/src/net/resp_connection.h
+++ b/src/net/resp_connection.h
@@ -34,9 +34,10 @@
   // The node closes it between requests. Its end goes ahead of the close: what the client has sent meanwhile
   // is read and dropped, so that it finds an orderly end and no reset that could cost it its last reply.
   void Depart(ClientEnd end = ClientEnd::kStopping);
-  // The node takes nothing on any more: whoever is within a command is refused, and everyone gets the end.
-  // What lies unread is read and answered first, and who has just come may ask, but not where `at_once`.
-  void Refuse(bool at_once);
+  // The node takes nothing on any more: see RespServer::Refuse.
+  void Refuse(RefusalPace pace);
+  // It has come just now and has not asked yet.
+  bool Newcomer() const;
   // Reads and drops what has come, so that a close finds nothing unread.
   void Discard() { stream_.Discard(); }
 
--- a/src/net/resp_server.cpp
+++ b/src/net/resp_server.cpp
@@ -161,19 +161,19 @@
   departing_ = true;
   std::vector<std::uint64_t> quiet;
   for (const auto& [id, connection] : connections_) {
-    if (connection->Quiet() && (all || connection->asked())) quiet.push_back(id);
+    if (connection->Quiet() && (connection->asked() || (all && !connection->Newcomer()))) quiet.push_back(id);
   }
   for (std::uint64_t id : quiet) connections_.at(id)->Depart();
   return connections_.empty();
 }
 
-bool RespServer::Refuse(bool at_once) {
+bool RespServer::Refuse(RefusalPace pace) {
   departing_ = true;
   std::vector<std::uint64_t> open;
   for (const auto& [id, connection] : connections_)
     if (!connection->lingering()) open.push_back(id);
   for (std::uint64_t id : open) {
-    if (const auto it = connections_.find(id); it != connections_.end()) it->second->Refuse(at_once);
+    if (const auto it = connections_.find(id); it != connections_.end()) it->second->Refuse(pace);
   }
   return std::all_of(connections_.begin(), connections_.end(),
                      [](const auto& entry) { return entry.second->lingering(); });
--- a/src/net/resp_server.h
+++ b/src/net/resp_server.h
@@ -31,6 +31,13 @@
 constexpr std::size_t kClientEnds = static_cast<std::size_t>(ClientEnd::kRefused) + 1;
 std::string_view NameOf(ClientEnd end);
 
+// How a node that takes nothing on any more ends its clients' connections.
+enum class RefusalPace : std::uint8_t {
+  kReadFirst,  // what lies unread is read and answered first, and who has just come may ask
+  kOutOfTime,  // the same for who has not asked yet; who has, and goes on sending, is read no further
+  kLastCall,   // everyone, whether or not replies are taken
+};
+
 class RespServer {
  public:
   class Handler {
@@ -64,11 +71,12 @@
   void Reply(std::uint64_t connection, std::uint64_t command, std::string line);
   bool Gone(std::uint64_t connection) const;  // closed by the client, read or not
   // Closes connections that stand between requests and have nothing unread, and from then on each with its
-  // next reply; those that asked nothing yet only where `all`. True when none is left.
+  // next reply; those that asked nothing yet only where `all`, and once they had time to. True when none is
+  // left.
   bool CloseQuiet(bool all);
   // Intake is over: each connection gets an answer to what it has sent whole, `-BUSY` where it is within a
-  // command, and its end; what lies unread is read first, unless `at_once`. True when each has its end.
-  bool Refuse(bool at_once);
+  // command, and its end. True when each has its end.
+  bool Refuse(RefusalPace pace);
   // Closes the listener and every connection, with nothing unread on them. Nothing is told to the handler.
   void Close();
   std::size_t connections() const { return connections_.size(); }
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -80,6 +80,10 @@
   void Quiesce();
   void ResumeWork();
   void LetQuietGo();
+  bool ReadJournals(JournalFile::Role role,
+                    state::Recovered& recovered);  // false: it can't, and has said why
+  void StandBy();
+  void LookForOthers();
   void TryClaim();
   void BeginCalls();
   void ShareRoom(bool shared);
@@ -166,7 +170,7 @@
   std::unique_ptr<Watcher> watcher_;  // null: nothing is watched
   net::CallPool pool_;
   net::RespServer server_;
-  std::unique_ptr<net::Discovery> discovery_;
+  std::unique_ptr<net::Discovery> discovery_;  // none once intake is over
   // Discovery at a new address, until it has given a whole list: the old one goes on telling till then.
   class Arriving : public net::Discovery::Handler {
    public:
@@ -203,8 +207,10 @@
   // When the latest passes of the loop began. A signal that is heard now came behind the one before the
   // latest.
   Micros pass_began_{0}, pass_before_began_{0};
-  std::uint64_t passes_in_phase_ = 0, clients_ended_in_phase_ = 0;
-  Micros now_{0}, wake_at_{0};  // of the last turn; for the next, as the module asked
+  std::uint64_t clients_ended_in_phase_ = 0;
+  bool stepped_in_phase_ = false;
+  std::uint64_t passes_since_step_ = 0;  // of the loop, begun behind the first step of a stop in this phase
+  Micros now_{0}, wake_at_{0};           // of the last turn; for the next, as the module asked
   std::array<std::uint64_t, static_cast<std::size_t>(state::kLastEnding) + 1> endings_{};
   std::array<std::uint64_t, net::kClientEnds> client_ends_{};
   std::uint64_t unsure_rules_ = 0;  // messages whose birth several rules may bind
--- a/src/node/node_stop.cpp
+++ b/src/node/node_stop.cpp
@@ -41,7 +41,8 @@
              CountOf(done, Action::kBegin), CountOf(done, Action::kRepeat), CountOf(done, Action::kNotice),
              std::exchange(clients_ended_in_phase_, 0), Denied(change.denied), state_.open(),
              server_.connections(), pool_.calls());
-  passes_in_phase_ = 0;
+  stepped_in_phase_ = false;
+  passes_since_step_ = 0;
   if (change.to == Phase::kRefusing) changes_.Freeze();
   if (lifecycle_.stopping() && change.to != Phase::kEnded) TellCallsEnd();
 }
@@ -80,6 +81,7 @@
 void Node::StepStop() {
   lifecycle_.Advance(loop_.Now());
   stop_timer_.Start(kStopStep);
+  if (!std::exchange(stepped_in_phase_, true)) passes_since_step_ = 0;
   if (lifecycle_.phase() == Phase::kLeaving) LeaveClients();
   if (lifecycle_.phase() == Phase::kRefusing) RefuseClients();
   if (lifecycle_.phase() == Phase::kClosing) CloseDown();
@@ -89,17 +91,24 @@
 // the node once more; not beside a successor, which listens as well.
 void Node::LeaveClients() {
   const bool closed = lifecycle_.handing_over() && server_.StopListening();
-  const bool none_left = server_.CloseQuiet(false);
+  const bool none_left = server_.CloseQuiet(lifecycle_.handing_over());
   if (closed && none_left && events_.empty()) lifecycle_.AllDismissed(loop_.Now());
 }
 
 // Whoever has been heard of gets an answer and the end. Time cuts nobody off before a whole pass has read
 // what lay there as intake ended, however late that pass is.
 void Node::RefuseClients() {
-  const bool out_of_time = lifecycle_.MustClose(loop_.Now()) && passes_in_phase_ > 1;
-  const bool closed = server_.StopListening();
-  const bool told = server_.Refuse(out_of_time);
-  if ((closed || out_of_time) && told && events_.empty()) lifecycle_.AllDismissed(loop_.Now());
+  discovery_.reset();  // no call begins any more
+  arriving_.reset();
+  const Micros now = loop_.Now();
+  const bool heard = passes_since_step_ > 0;
+  const bool out_of_time = heard && lifecycle_.MustClose(now);
+  const bool last_call = heard && lifecycle_.MustEnd(now);
+  const bool closed = server_.StopListening() || last_call;
+  const bool told = server_.Refuse(last_call     ? net::RefusalPace::kLastCall
+                                   : out_of_time ? net::RefusalPace::kOutOfTime
+                                                 : net::RefusalPace::kReadFirst);
+  if (closed && told && events_.empty()) lifecycle_.AllDismissed(loop_.Now());
 }
 
 void Node::CloseDown() {
@@ -107,11 +116,12 @@
   const bool told = lifecycle_.handing_over() || state_.notices.empty();
   const bool nothing_left = server_.connections() == 0 && pool_.calls() == 0 && told && events_.empty();
   if (nothing_left) return Finish(PhaseCause::kNothingLeft);
-  if (lifecycle_.MustEnd(loop_.Now()) && passes_in_phase_ > 1) Finish(PhaseCause::kOutOfTime);
+  if (lifecycle_.MustEnd(loop_.Now()) && passes_since_step_ > 0) Finish(PhaseCause::kOutOfTime);
 }
 
 void Node::Finish(PhaseCause cause) {
-  RunTurn();  // what has come by now goes on record
+  RunTurn();  // what has come by now goes on record, and what that has denied
+  if (!events_.empty()) RunTurn();
   if (!May(Action::kEnd)) return;
   Report();
   log_.Write(base::kStopped, state_.open(), state_.notices.size());
--- a/src/node/node_turn.cpp
+++ b/src/node/node_turn.cpp
@@ -32,7 +32,7 @@
 
 void Node::BeginPass() {
   pass_before_began_ = std::exchange(pass_began_, loop_.Now());
-  ++passes_in_phase_;
+  ++passes_since_step_;
   RunTurnIfDue();
 }
 
--- a/tests/node_due_test.cpp
+++ b/tests/node_due_test.cpp
@@ -5,6 +5,7 @@
 #include <csignal>
 #include <mutex>
 #include <random>
+#include <sstream>
 
 #include "stand_ins.h"
 #include "watch_bytes.h"
--- a/tests/node_stop_paths_test.cpp
+++ b/tests/node_stop_paths_test.cpp
@@ -162,5 +162,20 @@
   EXPECT_GT(ended_after(), milliseconds(2500));
 }
 
+// Guards against a stop without an end: a client that reads no replies is not waited for.
+TEST_F(StopPaths, AClientThatTakesNoRepliesKeepsNoStopFromItsEnd) {
+  ASSERT_TRUE(node.Start());
+  ClientStandIn greedy(node.port);
+  std::thread asks([&] {
+    std::this_thread::sleep_for(milliseconds(250));  // what it is owed for its silence comes with the stop
+    const std::string ping = ClientStandIn::Command({"PING", std::string(60000, 'x')});
+    for (int i = 0; i < 400 && greedy.Write(ping); ++i) continue;  // until nothing more is read of it
+  });
+  Stop({}, {});
+  asks.join();
+  EXPECT_FALSE(killed());
+  EXPECT_LE(ended_after(), kEarliestKill - kHoldUp);
+}
+
 }  // namespace
 }  // namespace indigosaddle::testing
--- a/tests/node_stop_soak_test.cpp
+++ b/tests/node_stop_soak_test.cpp
@@ -92,7 +92,10 @@
     const auto notices = platform_.notices();
     int taken = 0, unanswered = 0;
     for (const auto& [id, message] : record_.messages()) {
-      EXPECT_FALSE(message.closed && !message.node_died) << id << " was written whole and got no answer";
+      EXPECT_FALSE(message.closed && !message.node_died)
+          << id << " was written whole and got no answer: " << message.how << ", at "
+          << WallMillis(message.whole) << "\n"
+          << nodes_[static_cast<std::size_t>(SenderOf(id))]->Phases();
       unanswered += message.reply.empty() ? 1 : 0;
       ExpectNoUnsafeRepeat(id, message, calls);
       if (message.reply != "+OK") continue;
@@ -104,6 +107,12 @@
               << taken << " taken on, " << unanswered << " not answered in 0.4 s, " << notices.size()
               << " notices\n";
   }
+  // As the nodes' logs tell time.
+  static std::int64_t WallMillis(Clock::time_point at) {
+    const auto ago = Clock::now() - at;
+    const auto wall = std::chrono::system_clock::now() - ago;
+    return std::chrono::duration_cast<milliseconds>(wall.time_since_epoch()).count();
+  }
   static void ExpectNoUnsafeRepeat(const std::string& id, const SentMessage& message,
                                    const std::map<std::string, std::vector<SeenCall>>& calls) {
     const auto seen = calls.find(id);
--- a/tests/node_stop_test.cpp
+++ b/tests/node_stop_test.cpp
@@ -116,6 +116,26 @@
   EXPECT_GT(plan->failed, 0u);
 }
 
+// Guards against a reset of who waits in the listener's queue, where accept fails past the end of intake.
+TEST_F(StopWithLatecomers, WhoWaitsPastTheEndOfIntakeIsAnswered) {
+  ASSERT_TRUE(node.Start());
+  Latecomers clients(node.port, milliseconds(0));
+  std::thread fails([&] {
+    std::this_thread::sleep_for(kListenerCloses - milliseconds(300));
+    plan->accept = ENOBUFS;
+    std::this_thread::sleep_for(milliseconds(600));
+    plan->accept = 0;
+  });
+  node.Signal(SIGTERM);
+  std::this_thread::sleep_for(kListenerCloses - milliseconds(200));
+  clients.ConnectFor(milliseconds(120));
+  clients.Join();
+  fails.join();
+  EXPECT_EQ(node.Wait(), 0);
+  EXPECT_GT(clients.answered(), 5);
+  EXPECT_EQ(clients.lost(), 0);
+}
+
 // Guards against requests without an answer, and a stop without an end, where the disk fills up in the stop.
 TEST_F(StopWithLatecomers, AFullDiskInTheStopRefusesAndEndsInOrder) {
   ASSERT_TRUE(node.Start());
--- a/tests/soak_client.h
+++ b/tests/soak_client.h
@@ -94,6 +94,9 @@
       written = Connect() && socket_.Write(bytes);
       if (written) message.reply = ReadLine();
     }
+    message.whole = whole;
+    message.how = std::string(reset ? "reset" : "ended") +
+                  (rested ? ", rested before" : ", a new connection") + (slow_ ? ", in pieces" : "");
     const bool in_time = Clock::now() - std::max(whole, message.begun) < kAnswer;
     message.closed = reset || (written && message.reply.empty() && in_time);
     if (message.reply.empty()) socket_.Close();
--- a/tests/soak_world.h
+++ b/tests/soak_world.h
@@ -35,9 +35,11 @@
 
 // A message as its client saw it.
 struct SentMessage {
-  std::string reply;       // empty: none came
-  bool closed = false;     // its connection ended instead, within the time that a client waits
-  bool node_died = false;  // its process was killed meanwhile, with no SIGTERM before
+  std::string reply;        // empty: none came
+  bool closed = false;      // its connection ended instead, within the time that a client waits
+  std::string how;          // of such an end: what the client saw
+  Clock::time_point whole;  // its last byte was written
+  bool node_died = false;   // its process was killed meanwhile, with no SIGTERM before
   std::string message_class;
   Clock::time_point born;   // of the message, however often it was handed in
   Clock::time_point begun;  // of this handing-in
--- a/tests/stand_ins.h
+++ b/tests/stand_ins.h
@@ -18,12 +18,12 @@
 #include <filesystem>
 #include <fstream>
 #include <functional>
+#include <iterator>
 #include <list>
 #include <map>
 #include <mutex>
 #include <nlohmann/json.hpp>
 #include <optional>
-#include <sstream>
 #include <string>
 #include <string_view>
 #include <thread>
@@ -187,11 +187,11 @@
     status_ = WIFEXITED(status) ? WEXITSTATUS(status) : -WTERMSIG(status);
     return true;
   }
-  std::string log() const {
-    std::ostringstream text;
-    std::ifstream file(folder + "/log" + std::to_string(lives_));
-    if (file) text << file.rdbuf();
-    return text.str();
+  std::string log() const { return LogOf(lives_); }
+  std::string logs() const {  // of all its processes so far
+    std::string all;
+    for (int life = 1; life <= lives_; ++life) all += LogOf(life);
+    return all;
   }
 
   nlohmann::json config;
@@ -204,6 +204,10 @@
   int port = 0;
 
  private:
+  std::string LogOf(int life) const {
+    std::ifstream file(folder + "/log" + std::to_string(life));
+    return {std::istreambuf_iterator<char>(file), std::istreambuf_iterator<char>()};
+  }
   static nlohmann::json Class(const char* name, const char* effect) {
     return {{"name", name},  {"effect", effect}, {"group", "all"},      {"keyTtl", 60000.0},
             {"aim", 1000.0}, {"worth", 1.0},     {"deadline", 60000.0}, {"lateValue", 0.4}};
--- a/tests/stop_soak_node.h
+++ b/tests/stop_soak_node.h
@@ -8,6 +8,7 @@
 #include <memory>
 #include <mutex>
 #include <random>
+#include <sstream>
 #include <string>
 #include <thread>
 #include <vector>
@@ -74,9 +75,20 @@
   }
   std::string Logs() const {
     std::string all;
-    for (const auto& process : processes_) all += process->log();
+    for (const auto& process : processes_) all += process->logs();
     return all;
   }
+  // The steps of its stops, for a failure's trace.
+  std::string Phases() const {
+    std::istringstream lines(Logs());
+    std::string steps;
+    for (std::string line; std::getline(lines, line);) {
+      const bool step =
+          line.find(" phase ") != std::string::npos || line.find(" serving ") != std::string::npos;
+      if (step) steps += line + "\n";
+    }
+    return steps;
+  }
   bool Ended() {
     const std::lock_guard lock(mutex_);
     return current_->Ended();
