What a successor took on before its end is kept by the successor behind it

Change: a successor's start reads it too, as its own; the journals' reading and taking over stand in one file, node_journals.cpp, split off node.cpp. Evidence: HandOver.WhatASuccessorTookOnBeforeItsEndIsItsOwnSuccessors fails on for both signals (no call in 60 s) and passes now.

--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -17,13 +17,9 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
-// A successor asks this often whether the process before it has ended; what that one left waits no longer.
-constexpr Micros kClaimEvery = milliseconds(20);
-constexpr Micros kReadAgain = seconds(1);  // where that can't be read
+constexpr Micros kClaimAgain = milliseconds(20);
 // A third process waits this long for one of two that share the folder to end.
 constexpr Micros kWaitForPlace = seconds(5);
-// A successor's messages are numbered past all that the process before it can number meanwhile.
-constexpr state::Serial kSuccessorGap = state::Serial{1} << 32;
 
 }  // namespace
 
@@ -73,77 +69,24 @@
   uv_run(loop_.raw(), UV_RUN_NOWAIT);  // these three are members: they must be closed before they go
 }
 
-namespace {
-
-// The messages of a journal: its records, and the highest number that it gave.
-state::ReadJournal Parsed(const std::string& bytes, state::Serial& highest) {
-  state::ReadJournal read = state::ParseJournal(bytes);
-  for (const state::Record& record : read.records) {
-    if (const auto* taken = std::get_if<state::Taken>(&record)) highest = std::max(highest, taken->serial);
-  }
-  return read;
-}
-
-void Add(state::ReadJournal journal, state::Recovered& recovered) {
-  recovered.unsure.merge(state::Unsure(journal));
-  for (state::Record& record : journal.records) recovered.records.push_back(std::move(record));
-}
-
-}  // namespace
-
 bool Node::Start() {
   started_at_ = pass_began_ = pass_before_began_ = loop_.Now();
   clock_.Save();
   log_.Write(base::kClockOrigin, clock_.continued(), clock_.saved(), clock_.ahead_of_wall());
   JournalFile::Role role = journal_.Claim();
   while (role == JournalFile::Role::kNone && loop_.Now() - started_at_ < kWaitForPlace) {
-    std::this_thread::sleep_for(kClaimEvery);
+    std::this_thread::sleep_for(kClaimAgain);
     role = journal_.Claim();
   }
   if (role == JournalFile::Role::kNone) {
     log_.Write(base::kFolderUnusable, config_.state_folder, "two processes serve from it already");
     return false;
   }
-  std::string bytes, trouble;
-  if (!journal_.Read(MostJournal(config_), bytes, trouble)) {
-    log_.Write(base::kFolderUnusable, config_.state_folder, trouble);
-    return false;
-  }
-  log_.Write(base::kJournalFound, bytes.size());
-  rules_.Start(config_, started_at_, clock_.continued() || !bytes.empty());
-  if (!rules_.known()) log_.Write(base::kRulesUnknown, config_.state_folder);
-  state::Serial highest = 0;
-  state::ReadJournal old = Parsed(bytes, highest);
   state::Recovered recovered;
-  if (role == JournalFile::Role::kOwner) {
-    if (!trouble.empty()) log_.Write(base::kJournalDamaged, trouble, bytes.size(), bytes.size());
-    if (!old.trouble.empty()) log_.Write(base::kJournalDamaged, old.trouble, old.read, bytes.size());
-    Add(std::move(old), recovered);
-    // A successor that died before it took over left its own file.
-    std::string next;
-    trouble.clear();
-    if (journal_.absorbs_next() && !journal_.ReadNext(MostJournal(config_), next, trouble)) {
-      log_.Write(base::kFolderUnusable, config_.state_folder, trouble);
-      return false;
-    }
-    if (!next.empty()) {
-      log_.Write(base::kJournalFound, next.size());
-      state::ReadJournal more = Parsed(next, highest);
-      if (!more.trouble.empty()) log_.Write(base::kJournalDamaged, more.trouble, more.read, next.size());
-      Add(std::move(more), recovered);
-    }
-  } else {
-    // Another process serves from this folder: what it owes is its own until it ends.
-    successor_ = true;
-    recovered.numbered_past = highest + kSuccessorGap;
-    log_.Write(base::kJournalShared, config_.state_folder);
-    ShareRoom(true);
-    lifecycle_.SetStandby(true);
-    TellCallsEnd();
-    standby_timer_.Start(Lifecycle::kStandby);
-  }
+  if (!ReadJournals(role, recovered)) return false;
+  if (role == JournalFile::Role::kSuccessor) StandBy();
   SaveRules();
-  claim_timer_.Start(kClaimEvery);
+  LookForOthers();
   std::optional<std::uint64_t> held;
   if (!config_.known.empty()) {
     if (auto news = net::ParseMembers(config_.known)) {
@@ -183,51 +126,4 @@
   return true;
 }
 
-// The process before this one has ended once its lock is free; what it still owed is resumed here. An owner
-// looks whether a successor has come.
-void Node::TryClaim() {
-  if (successor_ && !May(Action::kHandOver)) return;
-  claim_timer_.Start(kClaimEvery);
-  if (!successor_) {
-    ShareRoom(journal_.HasSuccessor());
-    if (room_shared_ && lifecycle_.stopping()) HandOver();
-    return;
-  }
-  if (journal_.Claim() != JournalFile::Role::kOwner) return;
-  std::string bytes, trouble;
-  if (!journal_.Read(MostJournal(config_), bytes, trouble)) {  // left as it is, and serves on as a successor
-    log_.Write(base::kFolderUnusable, config_.state_folder, trouble);
-    return claim_timer_.Start(kReadAgain);
-  }
-  Did(Action::kHandOver);
-  successor_ = false;
-  rules_.TakeOver(loop_.Now());
-  if (!rules_.known()) log_.Write(base::kRulesUnknown, config_.state_folder);
-  SaveRules();
-  ShareRoom(false);
-  state::Serial highest = 0;
-  state::ReadJournal old = Parsed(bytes, highest);
-  if (!old.trouble.empty()) log_.Write(base::kJournalDamaged, old.trouble, old.read, bytes.size());
-  log_.Write(base::kJournalTakenOver, bytes.size());
-  state::Recovered recovered;
-  Add(std::move(old), recovered);
-  recovered.now = loop_.Now();
-  Push(std::move(recovered));
-  if (!StartFleet()) log_.Write(base::kFleetTrouble, "its address can't be used; nothing is shared");
-  BeginCalls();
-}
-
-// Also of a successor whose predecessor is left running: each serves what its clients bring.
-void Node::BeginCalls() {
-  standby_timer_.Stop();
-  lifecycle_.SetStandby(false);
-  TellCallsEnd();
-  RunTurn();
-}
-
-void Node::ShareRoom(bool shared) {
-  if (std::exchange(room_shared_, shared) != shared)
-    state_.limits.journal_bytes = JournalRoom(config_, shared);
-}
-
 }  // namespace indigosaddle::node
