--- a/src/brain/lifecycle.cpp
+++ b/src/brain/lifecycle.cpp
@@ -7,18 +7,18 @@
 namespace {
 
 using Row = std::array<bool, kActions>;
-constexpr bool yes = true, no = false;
+constexpr bool kYes = true, kNo = false;
 
 constexpr std::array<Row, kPhases> kAllowed = {{
     // admit read take begin repeat notice watch reload close dismiss hand-over end
-    /* starting */ {no, no, no, yes, yes, yes, yes, no, no, no, no, no},
-    /* serving  */ {yes, yes, yes, yes, yes, yes, yes, yes, yes, no, yes, no},
-    /* quiesced */ {yes, yes, yes, yes, yes, yes, yes, yes, yes, yes, yes, no},
-    /* draining */ {yes, yes, yes, yes, yes, yes, yes, yes, yes, no, yes, no},
-    /* leaving  */ {yes, yes, yes, yes, yes, yes, yes, yes, yes, yes, no, no},
-    /* refusing */ {yes, yes, no, no, no, yes, no, no, yes, yes, no, no},
-    /* closing  */ {no, no, no, no, no, yes, no, no, yes, no, no, yes},
-    /* ended    */ {no, no, no, no, no, no, no, no, no, no, no, no},
+    /* starting */ {kNo, kNo, kNo, kYes, kYes, kYes, kYes, kNo, kNo, kNo, kNo, kNo},
+    /* serving  */ {kYes, kYes, kYes, kYes, kYes, kYes, kYes, kYes, kYes, kNo, kYes, kNo},
+    /* quiesced */ {kYes, kYes, kYes, kYes, kYes, kYes, kYes, kYes, kYes, kYes, kYes, kNo},
+    /* draining */ {kYes, kYes, kYes, kYes, kYes, kYes, kYes, kYes, kYes, kNo, kYes, kNo},
+    /* leaving  */ {kYes, kYes, kYes, kYes, kYes, kYes, kYes, kYes, kYes, kYes, kNo, kNo},
+    /* refusing */ {kYes, kYes, kNo, kNo, kNo, kYes, kNo, kNo, kYes, kYes, kNo, kNo},
+    /* closing  */ {kNo, kNo, kNo, kNo, kNo, kYes, kNo, kNo, kYes, kNo, kNo, kYes},
+    /* ended    */ {kNo, kNo, kNo, kNo, kNo, kNo, kNo, kNo, kNo, kNo, kNo, kNo},
 }};
 
 // What another process's calls forbid as well, in every phase.
--- a/src/node/node_stop.cpp
+++ b/src/node/node_stop.cpp
@@ -90,6 +90,7 @@
 // The listener stays open meanwhile, so that a client whose request crosses the end of its connection finds
 // the node once more; not beside a successor, which listens as well.
 void Node::LeaveClients() {
+  Did(Action::kDismiss);
   const bool closed = lifecycle_.handing_over() && server_.StopListening();
   const bool none_left = server_.CloseQuiet(lifecycle_.handing_over());
   if (closed && none_left && events_.empty()) lifecycle_.AllDismissed(loop_.Now());
@@ -98,6 +99,7 @@
 // Whoever has been heard of gets an answer and the end. Time cuts nobody off before a whole pass has read
 // what lay there as intake ended, however late that pass is.
 void Node::RefuseClients() {
+  Did(Action::kDismiss);
   discovery_.reset();  // no call begins any more
   arriving_.reset();
   const Micros now = loop_.Now();
--- a/tests/node_soak_test.cpp
+++ b/tests/node_soak_test.cpp
@@ -7,12 +7,11 @@
 #include <gtest/gtest.h>
 
 #include <csignal>
-#include <cstdlib>
-#include <cstring>
 #include <memory>
 #include <optional>
 
 #include "soak_node.h"
+#include "soak_seeds.h"
 
 namespace indigosaddle::testing {
 namespace {
@@ -182,17 +181,7 @@
   Judge();
 }
 
-std::vector<std::uint64_t> Seeds() {
-  std::uint64_t first = 1, count = 5;
-  if (const char* told = std::getenv("INDIGOSADDLE_SOAK")) {
-    first = std::strtoull(told, nullptr, 10);
-    if (const char* colon = std::strchr(told, ':')) count = std::strtoull(colon + 1, nullptr, 10);
-  }
-  std::vector<std::uint64_t> seeds;
-  for (std::uint64_t i = 0; i < count; ++i) seeds.push_back(first + i);
-  return seeds;
-}
-INSTANTIATE_TEST_SUITE_P(Seeds, Soak, ::testing::ValuesIn(Seeds()),
+INSTANTIATE_TEST_SUITE_P(Seeds, Soak, ::testing::ValuesIn(SoakSeeds()),
                          [](const auto& given) { return "Seed" + std::to_string(given.param); });
 
 }  // namespace
--- a/tests/node_stop_soak_test.cpp
+++ b/tests/node_stop_soak_test.cpp
@@ -7,10 +7,9 @@
 //   INDIGOSADDLE_SOAK=FIRST:COUNT   plays these seeds instead of the few of the checks
 #include <gtest/gtest.h>
 
-#include <cstdlib>
-#include <cstring>
 #include <memory>
 
+#include "soak_seeds.h"
 #include "stop_soak_node.h"
 
 namespace indigosaddle::testing {
@@ -143,17 +142,7 @@
   Judge();
 }
 
-std::vector<std::uint64_t> Seeds() {
-  std::uint64_t first = 1, count = 5;
-  if (const char* told = std::getenv("INDIGOSADDLE_SOAK")) {
-    first = std::strtoull(told, nullptr, 10);
-    if (const char* colon = std::strchr(told, ':')) count = std::strtoull(colon + 1, nullptr, 10);
-  }
-  std::vector<std::uint64_t> seeds;
-  for (std::uint64_t i = 0; i < count; ++i) seeds.push_back(first + i);
-  return seeds;
-}
-INSTANTIATE_TEST_SUITE_P(Seeds, StopSoak, ::testing::ValuesIn(Seeds()),
+INSTANTIATE_TEST_SUITE_P(Seeds, StopSoak, ::testing::ValuesIn(SoakSeeds()),
                          [](const auto& given) { return "Seed" + std::to_string(given.param); });
 
 }  // namespace
--- /dev/null
+++ b/tests/soak_seeds.h
@@ -0,0 +1,22 @@
+// The seeds of a soak: the few of the checks, or those that INDIGOSADDLE_SOAK=FIRST:COUNT names.
+#pragma once
+
+#include <cstdint>
+#include <cstdlib>
+#include <cstring>
+#include <vector>
+
+namespace indigosaddle::testing {
+
+inline std::vector<std::uint64_t> SoakSeeds() {
+  std::uint64_t first = 1, count = 5;
+  if (const char* told = std::getenv("INDIGOSADDLE_SOAK")) {
+    first = std::strtoull(told, nullptr, 10);
+    if (const char* colon = std::strchr(told, ':')) count = std::strtoull(colon + 1, nullptr, 10);
+  }
+  std::vector<std::uint64_t> seeds;
+  for (std::uint64_t i = 0; i < count; ++i) seeds.push_back(first + i);
+  return seeds;
+}
+
+}  // namespace indigosaddle::testing
