--- a/tests/node_stop_paths_test.cpp
+++ b/tests/node_stop_paths_test.cpp
@@ -119,7 +119,8 @@
   successor.shared_state = node.folder + "/state";
   ASSERT_TRUE(successor.Start());
   std::vector<milliseconds> last_bytes;
-  for (int at = 2600; at <= 3500; at += 50) last_bytes.push_back(milliseconds(at));
+  for (int at = 1300; at <= 2200; at += 50) last_bytes.push_back(milliseconds(at));
+  senders_begin_ = milliseconds(-100);
   Stop({}, last_bytes);
   ExpectEachAnsweredOrEndedBefore();
   ExpectNoneTakenOn();
--- a/tests/stopped_node.h
+++ b/tests/stopped_node.h
@@ -81,7 +81,7 @@
   void Stop(std::vector<milliseconds> hold_ups, const std::vector<milliseconds>& last_bytes) {
     const auto signal_at = Clock::now() + milliseconds(300);
     for (const milliseconds at : last_bytes)
-      senders_.emplace_back(node.port, "late-" + std::to_string(senders_.size()), signal_at + kSendersBegin,
+      senders_.emplace_back(node.port, "late-" + std::to_string(senders_.size()), signal_at + senders_begin_,
                             signal_at + at);
     std::thread holder([&] { HoldUp(signal_at, hold_ups); });
     std::this_thread::sleep_until(signal_at);
@@ -112,10 +112,9 @@
   milliseconds ended_after() const { return ended_after_; }
 
   EndpointStandIn endpoint;
+  milliseconds senders_begin_{1500};  // their commands
 
  private:
-  static constexpr milliseconds kSendersBegin{1500};
-
   void HoldUp(Clock::time_point signal_at, const std::vector<milliseconds>& hold_ups) const {
     for (const milliseconds at : hold_ups) {
       std::this_thread::sleep_until(signal_at + at);
