--- a/tests/state_play.h
+++ b/tests/state_play.h
@@ -63,6 +63,7 @@
   void Turn() { Event_(TurnEnded{}); }
   void Take(const std::string& id, std::uint64_t connection = 1, std::string body = "b") {
     ClientMessage e;
+    e.may_take = may_take;
     e.client = {connection, ++commands};
     e.message = SomeTaken(0, std::move(body));
     e.message.id = id;
@@ -109,6 +110,7 @@
   }
 
   State state;
+  bool may_take = true;  // whether intake is open
   Effects effects;
   std::string journal;
   std::size_t most = 0;
--- a/tests/state_test.cpp
+++ b/tests/state_test.cpp
@@ -70,6 +70,25 @@
   EXPECT_EQ(play.state.open(), 1u);
 }
 
+// Guards against a message that is owed and is handed in twice, since its client was refused once intake was
+// over.
+TEST(Reducer, BehindIntakeWhatIsOwedIsStillTakenAndNothingElse) {
+  Play play;
+  play.Owe("a");
+  play.effects.clear();
+  play.may_take = false;
+  play.Take("a", 2);
+  play.Take("b", 3);
+  play.Turn();
+  const auto replies = play.All<Reply>();
+  ASSERT_EQ(replies.size(), 2u);
+  EXPECT_EQ(replies[0].answer, Answer::kTaken);
+  EXPECT_EQ(replies[1].answer, Answer::kBusy);
+  EXPECT_EQ(replies[1].refusal, Refusal::kStopping);
+  EXPECT_TRUE(play.All<TellMessage>().empty());
+  EXPECT_EQ(play.state.open(), 1u);
+}
+
 TEST(Reducer, AFullHouseOrAFullJournalTurnsAway) {
   Play few(100000, 2);
   few.Owe("a");
