--- a/tests/platform_stand_in.h
+++ b/tests/platform_stand_in.h
@@ -76,6 +76,15 @@
   void RefuseLists(int status) { list_status_ = status; }  // 200: no more
   int refused_lists() const { return refused_lists_; }
   void RefuseNotices(int status) { notice_status_ = status; }
+  // Instead of the plain 204: says what it says on the connection; false ends the connection.
+  void AnswerNotices(std::function<bool(Socket&)> answer) { answer_notices_ = std::move(answer); }
+  // Whether the n-th post is read at all; else its connection ends unread.
+  void ReadNotices(std::function<bool(int)> reads) { reads_notices_ = std::move(reads); }
+  // What else is said on a watch's connection behind a line.
+  void BehindLines(std::function<void(Socket&, const std::string& chunk)> says) {
+    const std::lock_guard lock(mutex_);
+    behind_lines_ = std::move(says);
+  }
   void IgnoreNotices(int posts) { ignored_notices_ = posts; }  // the next ones are read and never answered
   std::map<std::string, std::vector<nlohmann::json>> notices() {
     const std::lock_guard lock(mutex_);
@@ -102,19 +111,24 @@
     return out.str();
   }
 
+  void TakeNotices(const std::string& body) {
+    std::istringstream lines(body);
+    const std::lock_guard lock(mutex_);
+    for (std::string line; std::getline(lines, line);) {
+      const auto notice = nlohmann::json::parse(line);
+      notices_[notice["id"]].push_back(notice);
+      told_at_.try_emplace(notice["id"], Clock::now());
+    }
+  }
+
   bool Serve(Socket& socket, const HttpRequest& request) {
     if (request.line.starts_with("POST /v1/notices ")) {
-      ++notice_posts_;
+      const int post = ++notice_posts_;
+      if (reads_notices_ && !reads_notices_(post)) return false;
       if (ignored_notices_ > 0) return --ignored_notices_, true;
       if (notice_status_ != 204) return socket.Write(Answer(notice_status_));
-      std::istringstream lines(request.body);
-      const std::lock_guard lock(mutex_);
-      for (std::string line; std::getline(lines, line);) {
-        const auto notice = nlohmann::json::parse(line);
-        notices_[notice["id"]].push_back(notice);
-        told_at_.try_emplace(notice["id"], Clock::now());
-      }
-      return socket.Write("HTTP/1.1 204 No Content\r\n\r\n");
+      TakeNotices(request.body);
+      return answer_notices_ ? answer_notices_(socket) : socket.Write("HTTP/1.1 204 No Content\r\n\r\n");
     }
     if (list_status_ != 200) {
       ++refused_lists_;
@@ -142,7 +156,9 @@
       if (!down_ && (first || !news.empty())) {
         seen = version_;
         first = false;
-        if (!socket.Write(Chunk(Lines(false, version_, news)))) return false;
+        const std::string chunk = Chunk(Lines(false, version_, news));
+        if (!socket.Write(chunk)) return false;
+        if (behind_lines_) behind_lines_(socket, chunk);
       } else if (!down_ && !socket.Write(Chunk("\n"))) {
         return false;
       }
@@ -158,6 +174,9 @@
   std::vector<std::pair<std::uint64_t, nlohmann::json>> changes_;
   std::map<std::string, std::vector<nlohmann::json>> notices_;
   std::map<std::string, Clock::time_point> told_at_;
+  std::function<bool(Socket&)> answer_notices_;
+  std::function<bool(int)> reads_notices_;
+  std::function<void(Socket&, const std::string&)> behind_lines_;
   bool down_ = false;
   int generation_ = 0;
   std::atomic<bool> closing_{false};
