Notices: each post has a connection of its own, and one that is given up is silent at once

What callers saw: messages that end by a notice were lost where the agent's 204 came twice; with a copy behind a 204 that closes, the process died.

Cause: the next batch went out on the same connection, where a copy of the 204 before settled it unread. And a stream given up within its own callback went on reading and connecting with the same listener: a copied answer on it buried the new stream, whose connect callback then met a null stream.

Why it holds: a post and its answer are one object with a stream of its own, so bytes can reach no other post; what is dropped is closed before anything else happens. An answer that begins before the post has left is none.

--- a/src/net/notices.cpp
+++ b/src/net/notices.cpp
@@ -32,20 +32,52 @@
   return line.dump();
 }
 
+class Notices::Exchange : private Stream::Listener {
+ public:
+  Exchange(Notices& owner, std::string post)
+      : owner_(owner), post_(std::move(post)), reader_(kMostAnswerBody), stream_(owner.loop_, *this) {}
+
+  // False where it can't begin.
+  bool Begin() { return stream_.Connect(owner_.address_) == 0; }
+  bool MustReadFirst(Timer& timer) const { return up_ && ReadFirst(timer, stream_); }
+  // From now on nothing of it is heard.
+  void Silence() { stream_.Close(); }
+
+ private:
+  void OnConnected(int error) override {
+    up_ = error == 0 && stream_.StartReading() == 0;
+    if (!up_ || stream_.Write(std::exchange(post_, {})) != 0) owner_.Again();
+  }
+  // An answer that begins before the post has left whole is none to it.
+  void OnBytes(std::string_view bytes) override {
+    const bool good = reader_.Take(bytes);
+    if (stream_.unwritten() > 0 || (!good && !reader_.done())) return owner_.Again();
+    if (reader_.done()) owner_.Answered(reader_);
+  }
+  void OnEnd(int) override {
+    reader_.TakeEnd();
+    reader_.done() ? owner_.Answered(reader_) : owner_.Again();
+  }
+
+  Notices& owner_;
+  std::string post_;
+  HttpReader reader_;
+  Stream stream_;
+  bool up_ = false;
+};
+
 Notices::Notices(Loop& loop, Handler& handler, std::string address)
     : loop_(loop),
       handler_(handler),
       address_(std::move(address)),
-      reader_(kMostAnswerBody),
       patience_(loop, [this] { OutOfPatience(); }),
-      again_(loop,
-             [this] {
-               buried_.reset();
-               Send();
-             }),
+      again_(loop, [this] { Send(); }),
+      bury_(loop, [this] { buried_.clear(); }),
       pause_(kLeastPause),
       patient_for_(kPatience) {}
 
+Notices::~Notices() = default;
+
 void Notices::Post(std::vector<NoticeLine> lines) {
   lines_ = std::move(lines);
   at_once_ = lines_.size();
@@ -54,38 +86,24 @@
 
 void Notices::Move(std::string address) {
   address_ = std::move(address);
-  out_ = up_ = false;
-  patience_.Stop();
+  Drop();
   pause_ = kLeastPause;
-  if (stream_ != nullptr) buried_ = std::move(stream_);
   again_.Start(Micros(0));
 }
 
 void Notices::Close() {
-  stream_.reset();
-  patience_.Stop();
+  Drop();
   again_.Stop();
 }
 
 void Notices::Send() {
-  if (lines_.empty() || out_) return;
-  out_ = true;
+  if (lines_.empty() || out_ != nullptr) return;
   patience_.Start(patient_for_);
-  if (stream_ != nullptr && !stream_->silent()) stream_.reset();
-  if (stream_ != nullptr && up_) return Write();
-  up_ = false;
-  stream_ = std::make_unique<Stream>(loop_, static_cast<Stream::Listener&>(*this));
-  if (stream_->Connect(address_) != 0) Again();
+  out_ = std::make_unique<Exchange>(*this, NextPost());
+  if (!out_->Begin()) Again();
 }
 
-void Notices::OnConnected(int error) {
-  if (error != 0 || stream_->StartReading() != 0) return Again();
-  up_ = true;
-  if (out_) Write();
-}
-
-void Notices::Write() {
-  reader_.Reset();
+std::string Notices::NextPost() {
   std::string body;
   at_once_ = std::min(at_once_, lines_.size());
   for (std::size_t i = 0; i < at_once_; ++i) {
@@ -95,38 +113,20 @@
     }
     body += lines_[i].json + "\n";
   }
-  std::string text = fmt::format(
-      "POST /v1/notices HTTP/1.1\r\nHost: {}\r\nContent-Type: application/x-ndjson\r\nContent-Length: "
-      "{}\r\n\r\n",
-      address_, body.size());
-  if (stream_->Write(text + body) != 0) Again();
+  return fmt::format(
+             "POST /v1/notices HTTP/1.1\r\nHost: {}\r\nContent-Type: application/x-ndjson\r\n"
+             "Connection: close\r\nContent-Length: {}\r\n\r\n",
+             address_, body.size()) +
+         body;
 }
 
-void Notices::OnBytes(std::string_view bytes) {
-  if (stream_ == nullptr) return;
-  if (!out_ || (!reader_.Take(bytes) && !reader_.done())) return Again();
-  if (reader_.done()) Answered();
-}
-
-void Notices::OnEnd(int) {
-  if (stream_ == nullptr) return;
-  reader_.TakeEnd();
-  if (out_ && reader_.done()) return Answered();
-  Again();
-}
-
-void Notices::Answered() {
-  const int status = reader_.status();
+void Notices::Answered(const HttpReader& answer) {
+  const int status = answer.status();
   const bool taken = status >= 200 && status < 300;
   if (!taken && status != 400) return Again();
-  out_ = false;
-  patience_.Stop();
+  Drop();
   pause_ = kLeastPause;
   patient_for_ = kPatience;
-  if (!reader_.keep_alive()) {
-    buried_ = std::move(stream_);
-    up_ = false;
-  }
   if (!taken && at_once_ > 1) {  // one of them can't be read: find it, so that the rest get through
     at_once_ = (at_once_ + 1) / 2;
   } else {
@@ -140,19 +140,25 @@
 }
 
 void Notices::OutOfPatience() {
-  if (stream_ != nullptr && up_ && ReadFirst(patience_, *stream_)) return;
+  if (out_ != nullptr && out_->MustReadFirst(patience_)) return;
   patient_for_ = std::min(2 * patient_for_, kMostPatience);
   Again();
 }
 
 // On a new connection, after a pause that grows.
 void Notices::Again() {
-  out_ = up_ = false;
-  patience_.Stop();
-  if (stream_ != nullptr) buried_ = std::move(stream_);
+  Drop();
   if (lines_.empty()) return;
   again_.Start(pause_);
   pause_ = std::min(2 * pause_, kMostPause);
 }
 
+void Notices::Drop() {
+  patience_.Stop();
+  if (out_ == nullptr) return;
+  out_->Silence();
+  buried_.push_back(std::move(out_));
+  bury_.Start(Micros(0));
+}
+
 }  // namespace indigosaddle::net
--- a/src/net/notices.h
+++ b/src/net/notices.h
@@ -1,4 +1,5 @@
-// Tells the platform how messages ended: one batch at a time, again until it is answered.
+// Tells the platform how messages ended: one batch at a time, again until it is answered. Each post has a
+// connection of its own, to this machine's agent: whatever else comes on it has nobody to reach.
 #pragma once
 
 #include <cstdint>
@@ -20,7 +21,7 @@
 std::string FormatFailed(const std::string& id);
 std::string FormatReturned(const std::string& id, Micros not_before);
 
-class Notices : private Stream::Listener {
+class Notices {
  public:
   class Handler {
    public:
@@ -30,20 +31,22 @@
   };
 
   Notices(Loop& loop, Handler& handler, std::string address);
+  ~Notices();
 
   void Post(std::vector<NoticeLine> lines);  // only after the last batch was taken
   void Move(std::string address);            // what is out is posted again there: that does no harm
   void Close();
 
  private:
+  // One post and its answer, on a connection that carries nothing else.
+  class Exchange;
+
   void Send();
-  void OnConnected(int error) override;
-  void OnBytes(std::string_view bytes) override;
-  void OnEnd(int error) override;
-  void Write();
-  void Answered();
+  std::string NextPost();
+  void Answered(const HttpReader& answer);
   void OutOfPatience();
   void Again();
+  void Drop();
 
   Loop& loop_;
   Handler& handler_;
@@ -51,10 +54,9 @@
   std::vector<NoticeLine> lines_;
   std::vector<std::uint64_t> taken_;  // of the present batch
   std::size_t at_once_ = 0;           // of the lines, in the request that is out
-  HttpReader reader_;
-  std::unique_ptr<Stream> stream_, buried_;
-  bool up_ = false, out_ = false;
-  Timer patience_, again_;
+  std::unique_ptr<Exchange> out_;
+  std::vector<std::unique_ptr<Exchange>> buried_;  // silent, but may still be in one of their callbacks
+  Timer patience_, again_, bury_;
   Micros pause_, patient_for_;
 };
 
