Discovery: a watch never goes back to an older list, whole or not

Cause: only changes were held against the version; a whole list in a watch was taken whatever its version.

Why it holds: only a watch's first object may be a whole list of a lower version (a discovery that began anew); anything older behind it ends the watch, and the whole list is asked for on a new connection.

--- a/src/net/discovery.cpp
+++ b/src/net/discovery.cpp
@@ -98,7 +98,7 @@
   if (!version_) return Lost("no whole list that can be read", Loss::kUnreadable);
   if (stream_ == nullptr) return;
   // On with the watch, on a connection of its own.
-  buried_ = std::move(stream_);
+  Drop();
   AskIn(Micros(0));
 }
 
@@ -133,10 +133,12 @@
 
 void Discovery::Take(std::string_view json) {
   std::optional<MemberNews> news = ParseMembers(json);
-  const bool old = news && watching_ && !news->whole && news->version < *version_;
+  // A watch begins with what changed since, or with the whole list; from then on it never goes back.
+  const bool may_be_older = !watching_ || (news && news->whole && !answered_);
+  const bool old = news && !may_be_older && news->version < *version_;
   if (!news || old) {
     version_.reset();  // what was missed is in the whole list
-    if (watching_) Lost(old ? "a change older than the list" : "unreadable line", Loss::kUnreadable);
+    if (watching_) Lost(old ? "news older than the list" : "unreadable line", Loss::kUnreadable);
     return;
   }
   const bool follows = watching_ || news->whole;  // a part of the list is no whole one
@@ -156,7 +158,7 @@
 // one must stand.
 void Discovery::Lost(std::string_view reason, Loss loss) {
   silence_.Stop();
-  if (stream_ != nullptr) buried_ = std::move(stream_);
+  Drop();
   if (loss == Loss::kRefused) {
     clock_.OnRefused();
     AskIn(refused_.Next());
@@ -171,6 +173,13 @@
   handler_->OnWatchLost(reason, clock_.outdated_from());
 }
 
+// From now on nothing of it is heard, though it may be in one of its callbacks.
+void Discovery::Drop() {
+  if (stream_ == nullptr) return;
+  stream_->Close();
+  buried_ = std::move(stream_);
+}
+
 // A whole line or list that can be read, and nothing less: bytes that complete nothing tell nothing.
 void Discovery::Life() {
   answered_ = true;
--- a/src/net/discovery.h
+++ b/src/net/discovery.h
@@ -51,6 +51,7 @@
     kRefused,     // by its status
   };
   void Lost(std::string_view reason, Loss loss = Loss::kEnded);
+  void Drop();
   void Life();
   void Take(std::string_view json);
 
