Commands: one that comes again is the same message, and has the answer that the first one had

Cause: ids were forgotten as the message ended. Within one turn the copy was answered -BUSY while the first was taken on: its client would have handed it in again.

Commands of one turn with one id have one answer.

The reducer also takes AnswersDoubted: a message that was over as delivered and may not be is told as failed, which does no harm where it was. Nothing sends it yet.

--- a/src/base/log_events.h
+++ b/src/base/log_events.h
@@ -181,7 +181,7 @@
   all(kServing, kStopping, kPhaseEntered, kLifecycleBreak, kStopped, kReport, kWatch, kFolderUnusable,
       kListenFailed, kClockOrigin, kJournalFound, kJournalDamaged, kResumed, kJournalWritable,
       kKnownUnreadable, kListSkipped, kWatchLost, kWatchBack, kDiscoveryMoved, kNoticeUnreadable,
-      kMessageEnded, kMessageDelivered, kMessageResumed, kRequestRefused, kCallEnded, kCallDelivered,
+      kMessageEnded, kMessageDelivered, kMessageResumed, kRequestRefused, kCallEnded, kCallDelivered, kMessageDoubted,
       kRecovery, kClientEnded, kConfigServes, kConfigStartsWith, kConfigRefused, kConfigOnTrial, kConfigKept,
       kConfigUndone, kConfigInterrupted, kConfigNeedsRestart, kConfigRead, kReloadIgnored, kClassRules,
       kRulesUnknown, kRulesUnsure, kConfigUnusable, kConfigSame, kConfigStoreFailed, kControlOpen,
--- a/src/base/log_events_delivery.h
+++ b/src/base/log_events_delivery.h
@@ -33,6 +33,11 @@
       {"attempts", "calls made for it"},
       {"held", "since it was taken; 0 where that was before a restart"},
       {"rules", "for repeats and order, by which it went"}}}};
+inline constexpr Event<kText> kMessageDoubted{
+    "message.doubted",
+    kWarn,
+    "A message that was over as delivered is told as failed: the answer may have been another call's.",
+    {{{"id", "as the client gave it"}}}};
 inline constexpr Event<kCount, kText, kCount, kMillis> kClientEnded{
     "client.ended",
     kDebug,
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -130,6 +130,7 @@
   void Do(state::CloseIdle& e);
   void Do(state::Note& e);
   void Do(state::MessageResumed& e);
+  void Do(state::MessageDoubted& e);
   void Do(state::MessageOver& e);
   void Count(const state::MessageOver& e, Micros held);
   void LogCall(const net::CallResult& result);
--- a/src/node/node_log.cpp
+++ b/src/node/node_log.cpp
@@ -114,6 +114,8 @@
   }
 }
 
+void Node::Do(state::MessageDoubted& e) { log_.Write(base::kMessageDoubted, e.id); }
+
 void Node::OnRecovery(const RecoveryChange& change) {
   log_.Write(base::kRecovery, change.destination, change.endpoint, NameOf(change.from), NameOf(change.to),
              NameOf(change.cause), change.allowance, change.spent, change.limit, change.served_share);
--- a/src/state/effects.h
+++ b/src/state/effects.h
@@ -103,6 +103,9 @@
   Past past;
   Micros give_up_at{0};
 };
+struct MessageDoubted {  // for the log: it was over as delivered, and is told as failed
+  std::string id;
+};
 struct MessageOver {  // what became of a message that was taken on
   std::string id, message_class, tenant;
   std::uint64_t destination = 0;
@@ -115,7 +118,7 @@
 using Effect =
     std::variant<TellMessage, TellWithdrawn, TellAnswerTold, TellOutcome, TellList, TellListLost, TellStop,
                  TellZoneUnsure, TellSettings, AppendJournal, RewriteJournal, Reply, StartCall, PostNotices,
-                 ArmTimer, RenewWatch, CloseIdle, Note, MessageResumed, MessageOver>;
+                 ArmTimer, RenewWatch, CloseIdle, Note, MessageResumed, MessageDoubted, MessageOver>;
 using Effects = std::vector<Effect>;
 
 }  // namespace indigosaddle::state
--- a/src/state/ending.h
+++ b/src/state/ending.h
@@ -36,6 +36,8 @@
 };
 
 Meaning MeaningOf(Ending ending);
+// Whether the endpoint has said so itself.
+constexpr bool IsAnswer(Ending ending) { return ending <= Ending::kOtherStatus; }
 Ending EndingOf(int status, bool no_slot);
 std::string_view NameOf(Ending ending);
 
--- a/src/state/events.h
+++ b/src/state/events.h
@@ -59,6 +59,9 @@
   LoadReport load;
   Micros at{0};
 };
+struct AnswersDoubted {  // answers that ended these messages may have been others' on their connections
+  std::vector<Serial> serials;
+};
 struct NoticesTaken {  // answered by the platform: nothing more is owed for these
   std::vector<Serial> serials;
 };
@@ -100,7 +103,7 @@
   bool ok = false;
 };
 using Event = std::variant<Recovered, ClientMessage, ClientGone, ListNews, ListLost, CallBegins, CallEnded,
-                           NoticesTaken, StopAsked, SettingsChanged, WantsSend, WantsRefusal, WantsFailure,
-                           WantsTimer, WantsWatch, WantsIdleClosed, TurnEnded, JournalWritten>;
+                           AnswersDoubted, NoticesTaken, StopAsked, SettingsChanged, WantsSend, WantsRefusal,
+                           WantsFailure, WantsTimer, WantsWatch, WantsIdleClosed, TurnEnded, JournalWritten>;
 
 }  // namespace indigosaddle::state
--- a/src/state/keeper.h
+++ b/src/state/keeper.h
@@ -35,11 +35,12 @@
     owed->run_zone = owed->out_zone;
   }
   void operator()(const Ended& r) {
-    Owed* owed = Find(r.serial);
-    if (owed == nullptr || owed->ended) return;
+    Owed* owed = FindForEnd(r);
+    if (owed == nullptr) return;
     owed->ended = r;
     state_.by_id.erase(owed->taken.id);
     owed->taken.body = {};  // nothing is sent any more
+    state_.recent.Add(owed->taken, r.end);
     SetRoom(*owed, r.end == End::kNothingOwed ? 0 : RecordBytes(owed->taken) + kLaterRecords);
     if (r.end != End::kNothingOwed) {
       state_.notices[r.serial] = {r.serial, owed->taken.id, r.end, r.not_before};
@@ -66,6 +67,18 @@
     return it == state_.owed.end() ? nullptr : &it->second;
   }
 
+  // The message that this ends: one that is owed, or one that was over with nothing owed and failed after
+  // all.
+  Owed* FindForEnd(const Ended& r) {
+    Owed* owed = Find(r.serial);
+    if (owed != nullptr && !owed->ended) return owed;
+    const RecentEnds::Entry* entry = state_.recent.Find(r.serial);
+    if (entry == nullptr || entry->end != End::kNothingOwed || r.end != End::kFailed) return nullptr;
+    if (owed == nullptr) owed = &state_.owed[r.serial];
+    owed->taken = entry->taken;
+    return owed;
+  }
+
   // Drops what is over, has no call out and owes no notice.
   void Drop(Serial serial) {
     auto it = state_.owed.find(serial);
@@ -122,6 +135,11 @@
     }
     if (owed.ended) AppendRecord(journal, *owed.ended);
   }
+  for (const auto& [serial, entry] : state.recent.entries()) {
+    if (state.notices.contains(serial)) continue;
+    AppendRecord(journal, entry.taken);
+    AppendRecord(journal, Ended{serial, End::kNothingOwed, Micros(0)});
+  }
   return journal;
 }
 
--- a/src/state/ledger.h
+++ b/src/state/ledger.h
@@ -13,6 +13,9 @@
 
 constexpr std::size_t kBlock = 512;  // the folder's files are counted in whole ones
 constexpr std::size_t kNoticesAtOnce = 500;
+constexpr std::size_t kOwedOfJournal = 45;    // percent of the folder that owed messages may fill: a rewrite
+                                              // needs room beside the old file, and appends between rewrites
+constexpr std::size_t kRecentOfJournal = 10;  // percent, of the same share, for messages that are over
 
 class Ledger {
  public:
@@ -22,7 +25,9 @@
   // What is staged, behind `bytes`, becomes one write; answered by JournalWritten.
   void Commit(std::string bytes) {
     bytes += std::exchange(state_.staged, {});
-    const std::size_t reserve = state_.room + JournalHead().size() + 2 * kBlock;  // of a rewrite, rounded up
+    LimitRecent();
+    // Of a rewrite, rounded up.
+    const std::size_t reserve = state_.room + state_.recent.bytes() + JournalHead().size() + 2 * kBlock;
     if (!bytes.empty() || state_.rewrite_due) {
       if (state_.rewrite_due || state_.journal_size + bytes.size() + reserve > state_.limits.journal_bytes) {
         bytes = Snapshot(state_);
@@ -37,6 +42,12 @@
     }
   }
 
+  void LimitRecent() {
+    const std::size_t all = state_.limits.journal_bytes * kOwedOfJournal / 100;
+    const std::size_t left = all - std::min(all, state_.room);
+    state_.recent.LimitTo(std::min(left, state_.limits.journal_bytes * kRecentOfJournal / 100));
+  }
+
   Message ForModule(const Owed& owed) const {
     Message message;
     message.id = owed.taken.serial;
@@ -73,16 +84,24 @@
 
   void Answer_(const ClientRef& client, Answer answer, Micros not_before, const Taken& taken, Refusal refusal,
                std::optional<GiveUpCause> cause = std::nullopt) {
+    if (answer != Answer::kTaken) state_.refusals.Add(taken.id, answer, state_.heard_at);
     effects_.emplace_back(Reply{client, answer, not_before, taken.id, taken.message_class, refusal, cause});
   }
+  // The message's client, and whoever has sent the same command since.
+  void AnswerAll(const Owed& owed, Answer answer, Micros not_before, Refusal refusal,
+                 std::optional<GiveUpCause> cause = std::nullopt) {
+    Answer_(*owed.unanswered, answer, not_before, owed.taken, refusal, cause);
+    for (const ClientRef& copy : owed.copies)
+      Answer_(copy, answer, not_before, owed.taken, Refusal::kSameId, cause);
+  }
 
   // A final answer: to the client while it waits, by a notice after that.
   void Finish(Serial serial, End end, Micros not_before, GiveUpCause cause) {
     Owed* owed = keep_.Find(serial);
     if (owed == nullptr || owed->ended) return;
     if (owed->unanswered) {
-      Answer_(*owed->unanswered, end == End::kReturned ? Answer::kBusy : Answer::kFailed, not_before,
-              owed->taken, Refusal::kPolicy, cause);
+      AnswerAll(*owed, end == End::kReturned ? Answer::kBusy : Answer::kFailed, not_before, Refusal::kPolicy,
+                cause);
       return Forget(serial);
     }
     SayOver(*owed, end == End::kReturned ? Over::kReturned : Over::kFailed, cause);
@@ -102,7 +121,10 @@
 
   // The journal holds this turn: its replies, calls and notices may go out.
   void Release() {
-    for (Serial serial : std::exchange(state_.fresh, {})) state_.owed.at(serial).unanswered.reset();
+    for (Serial serial : std::exchange(state_.fresh, {})) {
+      state_.owed.at(serial).unanswered.reset();
+      state_.owed.at(serial).copies.clear();
+    }
     for (Effect& effect : std::exchange(state_.after_write, {})) effects_.push_back(std::move(effect));
     if (state_.notices_out || state_.notices.empty()) return;
     state_.notices_out = true;
--- a/src/state/reducer.cpp
+++ b/src/state/reducer.cpp
@@ -11,8 +11,6 @@
 namespace indigosaddle::state {
 namespace {
 
-constexpr std::size_t kOwedOfJournal = 45;  // percent of the folder that owed messages may fill: a rewrite
-                                            // needs room beside the old file, and appends between rewrites
 // How well a message's time is known here: its client counts it from when it sent the first byte, over a way
 // that takes as long as it takes.
 constexpr Micros kTimeDoubt = std::chrono::milliseconds(50);
@@ -25,6 +23,7 @@
   // records bring is resumed, for messages that this process took are its own.
   void operator()(const Recovered& e) {
     state_.last_serial = std::max(state_.last_serial, e.numbered_past);
+    state_.heard_at = std::max(state_.heard_at, e.now);
     std::set<Serial> before;
     for (const auto& [serial, owed] : state_.owed) before.insert(serial);
     for (const Record& record : e.records) std::visit(keep_, record);
@@ -49,17 +48,17 @@
         effects_.emplace_back(TellMessage{ForModule(owed)});
       keep_.Drop(serial);
     }
+    state_.recent.Forget(state_.heard_at);
     state_.rewrite_due = true;
     effects_.emplace_back(Note{"resumed " + std::to_string(resumed) + " messages, " +
                                std::to_string(state_.notices.size()) + " notices"});
   }
 
   void operator()(const ClientMessage& e) {
-    if (state_.by_id.contains(e.message.id)) {  // the same request once more: it stays taken on
-      const Owed& owed = state_.owed.at(state_.by_id.at(e.message.id));
-      if (owed.unanswered) return Answer_(e.client, Answer::kBusy, Micros(0), e.message, Refusal::kSameId);
-      return Answer_(e.client, Answer::kTaken, Micros(0), e.message, Refusal::kSameId);
-    }
+    state_.heard_at = std::max(state_.heard_at, e.at);
+    state_.recent.Forget(state_.heard_at);
+    state_.refusals.Forget(state_.heard_at);
+    if (SameOnceMore(e)) return;
     if (!e.may_take) return Answer_(e.client, Answer::kBusy, Micros(0), e.message, Refusal::kStopping);
     const std::size_t room = RecordBytes(e.message) + kLaterRecords;
     const bool full = state_.limits.most_open > 0 && state_.open() >= state_.limits.most_open;
@@ -79,7 +78,7 @@
   void operator()(const ClientGone& e) {
     for (Serial serial : std::vector<Serial>(state_.fresh)) {
       const Owed& owed = state_.owed.at(serial);
-      if (!owed.unanswered || owed.unanswered->connection != e.connection) continue;
+      if (!owed.unanswered || !Leaves(state_.owed.at(serial), e.connection)) continue;
       effects_.emplace_back(TellWithdrawn{serial});
       Forget(serial);
     }
@@ -114,6 +113,16 @@
     keep_.Drop(e.serial);
   }
 
+  // The end is told after all: that does no harm where the answer was the message's own.
+  void operator()(const AnswersDoubted& e) {
+    for (Serial serial : e.serials) {
+      const RecentEnds::Entry* entry = state_.recent.Find(serial);
+      if (entry == nullptr || entry->end != End::kNothingOwed) continue;
+      effects_.emplace_back(MessageDoubted{entry->taken.id});
+      Record_(Ended{serial, End::kFailed, Micros(0)});
+    }
+  }
+
   void operator()(const NoticesTaken& e) {
     state_.notices_out = false;
     for (Serial serial : e.serials) {
@@ -171,8 +180,12 @@
     for (Serial serial : state_.fresh) {
       Owed& owed = state_.owed.at(serial);
       AppendRecord(bytes, owed.taken);
-      replies.emplace_back(Reply{*owed.unanswered, Answer::kTaken, Micros(0), owed.taken.id,
-                                 owed.taken.message_class, Refusal::kNone, std::nullopt});
+      const auto reply = [&](const ClientRef& client, Refusal refusal) {
+        replies.emplace_back(Reply{client, Answer::kTaken, Micros(0), owed.taken.id, owed.taken.message_class,
+                                   refusal, std::nullopt});
+      };
+      reply(*owed.unanswered, Refusal::kNone);
+      for (const ClientRef& copy : owed.copies) reply(copy, Refusal::kSameId);
     }
     auto& after_write = state_.after_write;
     after_write.insert(after_write.begin(), std::make_move_iterator(replies.begin()),
@@ -190,7 +203,7 @@
     state_.rewrite_due = true;
     for (Serial serial : std::vector<Serial>(state_.fresh)) {
       const Owed& owed = state_.owed.at(serial);
-      Answer_(*owed.unanswered, Answer::kBusy, Micros(0), owed.taken, Refusal::kNotWritten);
+      AnswerAll(owed, Answer::kBusy, Micros(0), Refusal::kNotWritten);
       effects_.emplace_back(TellWithdrawn{serial});
       // A send of this turn is over for the module as well, before its message is forgotten.
       if (state_.owed.at(serial).out)
@@ -205,6 +218,34 @@
       }
     }
   }
+
+ private:
+  // A command that has come before is answered as it was, whatever became of its message.
+  bool SameOnceMore(const ClientMessage& e) {
+    const std::string& id = e.message.id;
+    const auto known = state_.by_id.find(id);
+    if (known != state_.by_id.end() && state_.owed.at(known->second).unanswered) {
+      state_.owed.at(known->second).copies.push_back(e.client);
+      return true;
+    }
+    if (known != state_.by_id.end() || state_.recent.Has(id)) {
+      Answer_(e.client, Answer::kTaken, Micros(0), e.message, Refusal::kSameId);
+      return true;
+    }
+    const Answer* refused = state_.refusals.Find(id);
+    if (refused == nullptr) return false;
+    Answer_(e.client, *refused, Micros(0), e.message, Refusal::kSameId);
+    return true;
+  }
+  // Whether nobody is left who waits for its answer.
+  static bool Leaves(Owed& owed, std::uint64_t connection) {
+    std::erase_if(owed.copies, [&](const ClientRef& copy) { return copy.connection == connection; });
+    if (owed.unanswered->connection != connection) return false;
+    if (owed.copies.empty()) return true;
+    owed.unanswered = owed.copies.front();
+    owed.copies.erase(owed.copies.begin());
+    return false;
+  }
 };
 
 }  // namespace
--- a/src/state/reducer.h
+++ b/src/state/reducer.h
@@ -13,6 +13,7 @@
 #include "state/effects.h"
 #include "state/events.h"
 #include "state/journal.h"
+#include "state/recent_ends.h"
 
 namespace indigosaddle::state {
 
@@ -34,6 +35,7 @@
   EndpointId endpoint;
   std::optional<Ended> ended;           // kept while its notice is owed or its call is out
   std::optional<ClientRef> unanswered;  // taken in the present turn
+  std::vector<ClientRef> copies;        // the same command once more meanwhile: answered alike
   std::size_t room = 0;                 // journal bytes set aside for it
 };
 
@@ -43,6 +45,9 @@
   Limits limits;
   std::map<Serial, Owed> owed;
   std::unordered_map<std::string, Serial> by_id;  // messages not over
+  RecentEnds recent;                              // over, and their time is not
+  RecentRefusals refusals;
+  Micros heard_at{0};  // the latest command
   std::map<EndpointId, Listed> listed;
   Serial last_serial = 0;
   std::size_t journal_size = 0, room = 0;  // bytes in the file; set aside for all that is owed
--- a/tests/node_said_twice_test.cpp
+++ b/tests/node_said_twice_test.cpp
@@ -127,7 +127,7 @@
   node.config["settings"]["caps"]["maxOpen"] = 4;
   AnsweringHabits habits;
   habits.refused = 0;
-  habits.serves = {milliseconds(300), milliseconds(300)};
+  habits.serves = {milliseconds(250), milliseconds(250)};
   Build(habits, 6);
   std::this_thread::sleep_for(milliseconds(500));
   std::string refused;
@@ -136,7 +136,7 @@
     if (ClientStandIn(node.port).Ask(Unsafe(id)).starts_with("-BUSY")) refused = id;
   }
   ASSERT_FALSE(refused.empty());
-  std::this_thread::sleep_for(milliseconds(600));  // there is room again
+  std::this_thread::sleep_for(milliseconds(330));  // there is room again
   EXPECT_TRUE(ClientStandIn(node.port).Ask(Unsafe(refused)).starts_with("-BUSY"));
   std::this_thread::sleep_for(milliseconds(600));
   EXPECT_FALSE(record.calls().contains(refused));
