Connections to endpoints: one state each, and one function that says what it may carry and which answer counts

Cause: an answer belonged to the call that was out by its place alone, and a connection was given to the next call in the instant its answer was whole. A copy ended the next call; that call's own answer ended the one behind it.

Mend: brain/connection_trust has the states of a connection and Judge, asked before a call is written, before an answer is believed and before one is kept. A used connection carries a call behind 1 s of silence, longest idle first; a message that may not be repeated goes out as the first call of a connection only. The first bytes that nobody asked for make the endpoint suspect for 10 min, two such endpoints all of them: each call has a connection of its own, and answers on used ones are not believed. An answer that begins before its call has left, has more behind it on a used connection, or lay there through a hold-up at the writing ends its call as one that may have run. A used connection is kept behind a delivery only, so that no repeat runs beside a call that a copied refusal has ended. Messages that were over by an answer on a used connection in the 10 s before a sign are told as failed: that does no harm where the answer was theirs. Told waits are heeded whoever they were told to (Brain::OnToldWait).

Why it works: what a copy can still reach is a call on a used connection that comes more than 1 s behind its answer, at an endpoint that has never shown a sign; and a second sign within 10 s repairs that.

Seen: counts, states, ages and ids in the log (connection.unasked, answer.not_believed, message.doubted, connection.closed, connections), figures and status; what is done against Judge is counted, logged (connection.break) and ends checked builds.

--- a/src/base/log_events.h
+++ b/src/base/log_events.h
@@ -5,6 +5,7 @@
 
 #include "base/log.h"
 #include "base/log_events_config.h"
+#include "base/log_events_connections.h"
 #include "base/log_events_delivery.h"
 #include "base/log_events_fleet.h"
 #include "base/log_events_lifecycle.h"
@@ -181,13 +182,14 @@
   all(kServing, kStopping, kPhaseEntered, kLifecycleBreak, kStopped, kReport, kWatch, kFolderUnusable,
       kListenFailed, kClockOrigin, kJournalFound, kJournalDamaged, kResumed, kJournalWritable,
       kKnownUnreadable, kListSkipped, kWatchLost, kWatchBack, kDiscoveryMoved, kNoticeUnreadable,
-      kMessageEnded, kMessageDelivered, kMessageResumed, kRequestRefused, kCallEnded, kCallDelivered, kMessageDoubted,
-      kRecovery, kClientEnded, kConfigServes, kConfigStartsWith, kConfigRefused, kConfigOnTrial, kConfigKept,
-      kConfigUndone, kConfigInterrupted, kConfigNeedsRestart, kConfigRead, kReloadIgnored, kClassRules,
-      kRulesUnknown, kRulesUnsure, kConfigUnusable, kConfigSame, kConfigStoreFailed, kControlOpen,
-      kControlFailed, kControlRefused, kJournalShared, kJournalTakenOver, kQuiesced, kResumedWork,
-      kFleetMember, kFleetStanding, kFleetLease, kFleetSite, kFleetSenders, kFleetTrouble, kLogHeldBack,
-      kLogDropped);
+      kMessageEnded, kMessageDelivered, kMessageResumed, kRequestRefused, kCallEnded, kCallDelivered,
+      kConnectionUnasked, kAnswerNotBelieved, kMessageDoubted, kConnectionClosed, kTrustBreak,
+      kConnectionReport, kRecovery, kClientEnded, kConfigServes, kConfigStartsWith, kConfigRefused,
+      kConfigOnTrial, kConfigKept, kConfigUndone, kConfigInterrupted, kConfigNeedsRestart, kConfigRead,
+      kReloadIgnored, kClassRules, kRulesUnknown, kRulesUnsure, kConfigUnusable, kConfigSame,
+      kConfigStoreFailed, kControlOpen, kControlFailed, kControlRefused, kJournalShared, kJournalTakenOver,
+      kQuiesced, kResumedWork, kFleetMember, kFleetStanding, kFleetLease, kFleetSite, kFleetSenders,
+      kFleetTrouble, kLogHeldBack, kLogDropped);
 }
 
 }  // namespace indigosaddle::base
--- a/src/base/log_events_delivery.h
+++ b/src/base/log_events_delivery.h
@@ -46,30 +46,37 @@
       {"end", "why; the ways are listed in docs/architecture.md"},
       {"commands", "that it sent"},
       {"lasted", "since it was accepted"}}}};
-inline constexpr Event<kText, kCount, kText, kCount, kText, kMillis, kMillis, kText> kCallEnded{
-    "call.ended",
-    kInfo,
-    "A call ended other than by delivery; what becomes of its message is said by the next event of its id.",
-    {{{"id", "of the message"},
-      {"destination", "its number"},
-      {"endpoint", "called"},
-      {"attempt", "of the message, from 1"},
-      {"ending", "how the call ended"},
-      {"latency", "since it was sent"},
-      {"wait", "that the endpoint told; 0 where it told none"},
-      {"rules", "for repeats and order, by which its message goes"}}}};
-inline constexpr Event<kText, kCount, kText, kCount, kText, kMillis, kMillis, kText> kCallDelivered{
-    "call.delivered",
-    kDebug,
-    "A call delivered its message.",
-    {{{"id", "of the message"},
-      {"destination", "its number"},
-      {"endpoint", "called"},
-      {"attempt", "of the message, from 1"},
-      {"ending", "how the call ended"},
-      {"latency", "since it was sent"},
-      {"wait", "0"},
-      {"rules", "for repeats and order, by which its message goes"}}}};
+inline constexpr Event<kText, kCount, kText, kCount, kText, kMillis, kMillis, kText, kCount, kCount, kMillis>
+    kCallEnded{"call.ended",
+               kInfo,
+               "A call ended other than by delivery; what becomes of its message is said by the next event "
+               "of its id.",
+               {{{"id", "of the message"},
+                 {"destination", "its number"},
+                 {"endpoint", "called"},
+                 {"attempt", "of the message, from 1"},
+                 {"ending", "how the call ended"},
+                 {"latency", "since it was sent"},
+                 {"wait", "that the endpoint told; 0 where it told none"},
+                 {"rules", "for repeats and order, by which its message goes"},
+                 {"connection", "its number since the start"},
+                 {"calls", "that the connection has carried, this one included"},
+                 {"age", "of the connection"}}}};
+inline constexpr Event<kText, kCount, kText, kCount, kText, kMillis, kMillis, kText, kCount, kCount, kMillis>
+    kCallDelivered{"call.delivered",
+                   kDebug,
+                   "A call delivered its message.",
+                   {{{"id", "of the message"},
+                     {"destination", "its number"},
+                     {"endpoint", "called"},
+                     {"attempt", "of the message, from 1"},
+                     {"ending", "how the call ended"},
+                     {"latency", "since it was sent"},
+                     {"wait", "0"},
+                     {"rules", "for repeats and order, by which its message goes"},
+                     {"connection", "its number since the start"},
+                     {"calls", "that the connection has carried, this one included"},
+                     {"age", "of the connection"}}}};
 inline constexpr Event<kText, kText, kText> kRulesUnsure{
     "message.rules_unsure",
     kInfo,
--- a/src/brain.h
+++ b/src/brain.h
@@ -201,6 +201,8 @@
   virtual void OnListOutdated(Micros from) = 0;
   virtual void OnMessage(const Message& message) = 0;
   virtual void OnOutcome(const Outcome& outcome) = 0;
+  // Told by an endpoint, though not by an answer that ended a call.
+  virtual void OnToldWait(const EndpointId& endpoint, Micros wait) = 0;
   virtual void OnWithdrawn(MessageId id) = 0;
   virtual void OnAnswerTold(MessageId id) = 0;  // a final answer that was on its way has arrived
   virtual void OnStop(Micros at) = 0;           // the process ends then; what is held is resumed after it
--- a/src/brain/brain.cpp
+++ b/src/brain/brain.cpp
@@ -81,6 +81,13 @@
     outcome.last && !held.ended ? End(held) : Release(held);
   }
 
+  void OnToldWait(const EndpointId& endpoint, Micros wait) override {
+    for (auto& [id, home] : destinations_) {
+      Route* route = Find(home, endpoint);
+      if (route != nullptr) Pause(home, LaneOf(*route), wait);
+    }
+  }
+
   void OnWithdrawn(MessageId id) override {
     if (auto it = held_.find(id); it != held_.end()) End(it->second);
   }
--- /dev/null
+++ b/src/brain/connection_trust.h
@@ -0,0 +1,133 @@
+// What may be done with a connection to an endpoint, and whether an answer that comes on it is believed.
+//
+// HTTP/1.1 numbers no answer: it belongs to a call by its place alone. What a peer says may come twice, late,
+// early or to nothing. So an answer counts for a call only where nothing else can still come on that
+// connection: on its first call, or behind a time of silence, at an endpoint that has said nothing unasked.
+// Deterministic: the caller brings the time and what it has seen.
+#pragma once
+
+#include <array>
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <string_view>
+
+#include "brain.h"
+
+namespace indigosaddle {
+
+enum class ConnectionState : std::uint8_t {
+  kConnecting,
+  kFresh,        // up, and has carried nothing
+  kInFirstCall,  // nothing but this call's answer can come
+  kInLaterCall,
+  kReadingRest,  // the call is over, its answer's body is still coming
+  kSettling,     // answered, and not silent for long enough yet
+  kReusable,
+  kClosed,
+};
+std::string_view NameOf(ConnectionState state);
+
+enum class ConnectionUse : std::uint8_t {
+  kCarryCall,      // write a call on it
+  kBelieveAnswer,  // end its call by what has come
+  kKeep,           // keep it behind an answer
+};
+
+// Why a connection may not be used so.
+enum class Distrust : std::uint8_t {
+  kNone,
+  kState,         // not in a state for it
+  kSettling,      // not silent for long enough
+  kSuspect,       // its endpoint has said something unasked
+  kUnread,        // bytes, or its end, lie there
+  kWorn,          // the other side may close it at any moment
+  kFirstOnly,     // the message may not be repeated: its call is the first of a connection
+  kEarly,         // before the call's last byte had left
+  kMoreBehind,    // more came with the answer
+  kHeldUp,        // bytes came between the look for them and the writing of the call
+  kNotDelivered,  // no delivery, on a used connection: the call's own answer may still be owed
+  kMoved,         // the endpoint has another address by now
+  kOtherSide,     // it closes, or says that it will
+};
+constexpr std::size_t kDistrusts = static_cast<std::size_t>(Distrust::kOtherSide) + 1;
+std::string_view NameOf(Distrust why);
+
+// What is known of a connection as it is to be used.
+struct ConnectionFacts {
+  ConnectionState state = ConnectionState::kClosed;
+  bool suspect_endpoint = false;
+  bool unread = false;           // something lies there
+  bool moved = false;            // its endpoint has another address by now
+  bool worn = false;             // idle for about as long as the other side allows
+  bool first_call_only = false;  // asked of by the call
+  // Of an answer.
+  bool sent = false;         // the call's last byte has left
+  bool early = false;        // it began before that
+  bool refusal = false;      // it says that the call has not run
+  bool delivered = false;    // it says that the message is delivered
+  bool more_behind = false;  // bytes behind it
+  bool held_up = false;      // something lay there as the call was written
+  bool keep_alive = true;    // whole, readable, and the other side goes on
+};
+
+// The one place where this is decided.
+Distrust Judge(const ConnectionFacts& facts, ConnectionUse use);
+
+// Whether a call goes out as the first of a connection only: what may not be repeated has no second way.
+bool WantsFirstCall(const RepeatRules& rules);
+
+// The state of one connection.
+class ConnectionLife {
+ public:
+  // How long a connection has to be silent behind an answer before it carries another call. A copy that
+  // comes within it is met.
+  static constexpr Micros kSilence = std::chrono::seconds(1);
+  // From the look for unread bytes to the end of the writing: longer, and the look is taken again.
+  static constexpr Micros kLookHolds = std::chrono::milliseconds(1);
+
+  explicit ConnectionLife(Micros now) : since_(now), made_(now) {}
+
+  void Up(Micros now) { Enter(ConnectionState::kFresh, now); }
+  void Call(Micros now);
+  void Rest(Micros now) { Enter(ConnectionState::kReadingRest, now); }
+  void Answered(Micros now) { Enter(ConnectionState::kSettling, now); }
+  void Unused(Micros now) { Enter(calls_ == 0 ? ConnectionState::kFresh : ConnectionState::kSettling, now); }
+  void Closed(Micros now) { Enter(ConnectionState::kClosed, now); }
+
+  ConnectionState At(Micros now) const;
+  Micros since() const { return since_; }
+  Micros Age(Micros now) const { return now - made_; }
+  std::uint64_t calls() const { return calls_; }
+
+ private:
+  void Enter(ConnectionState state, Micros now) { state_ = state, since_ = now; }
+
+  ConnectionState state_ = ConnectionState::kConnecting;
+  Micros since_, made_;
+  std::uint64_t calls_ = 0;
+};
+
+// Endpoints that have said something unasked. Each of their calls has a connection of its own.
+class SuspectEndpoints {
+ public:
+  // Behind the latest sign. A peer that says things twice does so until it is mended.
+  static constexpr Micros kSuspectFor = std::chrono::minutes(10);
+  // So many at once speak for something in front of all of them.
+  static constexpr std::size_t kSuspectsForAll = 2;
+  // Answers that were believed on a used connection so long before a sign are doubtful with it.
+  static constexpr Micros kDoubtBefore = std::chrono::seconds(10);
+
+  // True where all endpoints are suspect from now on, and were not.
+  bool Sign(const EndpointId& endpoint, Micros now);
+  bool Suspect(const EndpointId& endpoint, Micros now) const;
+  bool All(Micros now) const { return now < all_until_; }
+  std::size_t Count(Micros now) const;
+
+ private:
+  std::map<EndpointId, Micros> until_;
+  Micros all_until_{Micros::min()};
+};
+
+}  // namespace indigosaddle
--- a/src/brain/outcomes.h
+++ b/src/brain/outcomes.h
@@ -26,13 +26,18 @@
     if (held.ordered && MayRunOn(result)) keys_[held.message.key].rest_until = now_ + set_.turn_gap;
   }
 
+  // Rule 6: a told wait, whatever else its answer says or is believed to say.
+  void Pause(Destination& home, Lane& lane, Micros wait) {
+    lane.pause_until = std::max(lane.pause_until, now_ + wait);
+    changed_.insert(&home);
+  }
+
   void NoteEndpoint(Call& call, Route& route, const Outcome& outcome) {
     Lane& lane = LaneOf(route);
     const Result result = outcome.result;
     NoteNotSent(route, result);
     if (outcome.load.limit > 0) lane.limit = outcome.load.limit;
-    if (result == Result::kFull)
-      lane.pause_until = std::max(lane.pause_until, now_ + outcome.wait), changed_.insert(call.home);
+    if (result == Result::kFull || outcome.wait > Micros(0)) Pause(*call.home, lane, outcome.wait);
     if (call.judged || result == Result::kNotSent || result == Result::kCancelled) return;
     call.judged = true;  // one call, one fate
     if (result == Result::kFull) Cut(lane);
--- /dev/null
+++ b/src/net/call_answer.cpp
@@ -0,0 +1,122 @@
+// What comes on a call's connection: whether it is an answer, is believed, and what follows of it. A part of
+// call_connection.h.
+#include "net/call_connection.h"
+
+namespace indigosaddle::net {
+namespace {
+
+bool IsRefusal(state::Ending ending) {
+  return !state::MayHaveRun(state::MeaningOf(ending).result) && !state::MeaningOf(ending).over;
+}
+
+// A 429 tells a wait, whether or not it can be read; a 503 tells the one that it has.
+Micros ToldWait(const HttpReader& answer) {
+  const state::Ending ending = state::EndingOf(answer.status(), answer.header("x-no-slot") == "1");
+  const bool tells = ending == state::Ending::kToldToWait ||
+                     (ending == state::Ending::kTurnedAway && answer.has("x-retry-in-ms"));
+  return tells ? ParseWait(answer.header("x-retry-in-ms")) : Micros(0);
+}
+
+}  // namespace
+
+// Bytes that belong to no call may tell a wait all the same: the own answer of a call that a copy has ended.
+Micros CallPool::UnaskedWait(std::string_view bytes) {
+  HttpReader reader(bytes.size());
+  reader.Take(bytes);
+  return ToldWait(reader);
+}
+
+ConnectionFacts CallPool::Connection::FactsOfAnswer(state::Ending ending, bool more_behind) const {
+  ConnectionFacts facts = Facts();
+  facts.sent = sent_;
+  facts.early = early_;
+  facts.refusal = IsRefusal(ending);
+  facts.delivered = ending == state::Ending::kDelivered;
+  facts.more_behind = more_behind;
+  facts.held_up = held_up_;
+  return facts;
+}
+
+void CallPool::Connection::OnBytes(std::string_view bytes) {
+  if (!in_call_ && state() != ConnectionState::kReadingRest) return pool_.IdleEnded(*this, bytes);
+  last_read_ = bytes.size();
+  const bool good = reader_.Take(bytes);
+  early_ = early_ || (in_call_ && !sent_ && reader_.begun());
+  in_call_ ? TakeAnswer(good) : TakeRest(good);
+}
+
+void CallPool::Connection::TakeRest(bool good) {
+  if (!reader_.done() && good) return;
+  const bool more_behind = reader_.done() && !good;
+  ConnectionFacts facts = FactsOfAnswer(state::Ending::kDelivered, more_behind);
+  facts.keep_alive = good && reader_.keep_alive();
+  if (more_behind) pool_.Said(*this, Distrust::kMoreBehind, last_read_);
+  pool_.RestEnded(*this, Judge(facts, ConnectionUse::kKeep));
+}
+
+// A call is settled by its answer's head once that is in, or by its first line alone where that says 200.
+// The body means nothing; but where the head is no 200, one that does not come as told makes it doubtful.
+void CallPool::Connection::TakeAnswer(bool good) {
+  if (reader_.done()) return Answered(!good, good && reader_.keep_alive());
+  if (!good) return Spoilt();
+  // A body that only the connection's end would end is not waited for.
+  if (reader_.head_done() && (reader_.ends_with_connection() || reader_.status() == 200))
+    return Answered(false, !reader_.ends_with_connection());
+  const bool before = std::exchange(begun_, reader_.begun());
+  if (before == begun_) return;
+  if (begun_) {
+    phase_.Start(kAnswerPatience);
+  } else {
+    phase_.Stop();  // so far 1xx alone
+  }
+}
+
+void CallPool::Connection::OnEnd(int) {
+  if (state() == ConnectionState::kReadingRest) return pool_.RestEnded(*this, Distrust::kOtherSide);
+  if (!in_call_) return pool_.IdleEnded(*this, {});
+  reader_.TakeEnd();
+  if (reader_.done()) return Answered(false, false);
+  if (reader_.status() == 200) return Spoilt();
+  if (begun_) return End(state::Ending::kBrokenMidAnswer, Distrust::kOtherSide);
+  End(sent_ ? state::Ending::kBrokenAfterSent : state::Ending::kBrokenBeforeSent, Distrust::kOtherSide);
+}
+
+// An answer of which a part is missing, or not to be read. On a used connection it may be two halves.
+void CallPool::Connection::Spoilt() {
+  if (reader_.status() != 200) return End(state::Ending::kUnreadable, Distrust::kOtherSide);
+  const bool later = life_.calls() > 1;
+  const Distrust why = Judge(FactsOfAnswer(state::Ending::kDelivered, later), ConnectionUse::kBelieveAnswer);
+  if (why != Distrust::kNone) return Disbelieve(why, state::Ending::kDelivered);
+  judged_ = true;
+  End(state::Ending::kDelivered, Distrust::kOtherSide);
+}
+
+void CallPool::Connection::Answered(bool more_behind, bool keep_alive) {
+  const state::Ending ending = state::EndingOf(reader_.status(), reader_.header("x-no-slot") == "1");
+  ConnectionFacts facts = FactsOfAnswer(ending, more_behind);
+  facts.keep_alive = keep_alive;
+  const Distrust why = Judge(facts, ConnectionUse::kBelieveAnswer);
+  if (why != Distrust::kNone) return Disbelieve(why, ending);
+  judged_ = true;
+  CallResult result = ResultOf(ending);
+  result.wait = ToldWait(reader_);
+  result.load = ParseLoad(reader_.header("endpoint-load-metrics"));
+  if (life_.calls() > 1 && state::MeaningOf(ending).over) pool_.Believed(*this, serial_);
+  if (more_behind) pool_.Said(*this, Distrust::kMoreBehind, last_read_);
+  const Distrust kept = Judge(facts, ConnectionUse::kKeep);
+  const After after = kept != Distrust::kNone ? After::kClose
+                      : reader_.done()        ? After::kKeep
+                                              : After::kAwaitRest;
+  pool_.Finished(*this, result, after, kept);
+}
+
+// The call ends as one that may have run, or that has never left. A wait binds whoever it was told to.
+void CallPool::Connection::Disbelieve(Distrust why, state::Ending said) {
+  pool_.NotBelieved(*this, why, said);
+  if (why != Distrust::kSuspect) pool_.Said(*this, why, last_read_);
+  CallResult result = ResultOf(sent_ ? state::Ending::kUnreadable : state::Ending::kBrokenBeforeSent);
+  result.wait = ToldWait(reader_);
+  pool_.Finished(*this, result, After::kClose, why);
+}
+
+}  // namespace indigosaddle::net
--- a/src/net/call_format.h
+++ b/src/net/call_format.h
@@ -15,6 +15,7 @@
   std::uint64_t serial = 0;
   std::string dial, host, id, idempotency_key, body;
   Micros timeout{0};
+  bool first_call_only = false;  // it goes out as the first of a connection
 };
 
 std::string FormatCall(const CallRequest& request);
--- a/src/net/call_pool.cpp
+++ b/src/net/call_pool.cpp
@@ -21,7 +21,7 @@
       limits_(limits),
       may_start_(std::move(may_start)),
       ended_(std::move(ended)),
-      sweep_(loop, [this] { CloseStale(); }),
+      sweep_(loop, [this] { CloseWorn(); }),
       bury_(loop, [this] { buried_.clear(); }) {
   sweep_.Start(kSweepEvery);
 }
@@ -29,88 +29,110 @@
 CallPool::~CallPool() = default;
 
 void CallPool::Start(const CallRequest& request) {
-  std::unique_ptr<Connection> connection = TakeIdle(request.host, request.dial);
+  std::unique_ptr<Connection> connection = TakeIdle(request);
   const bool connect = connection == nullptr;
   if (connect) {
     if (connections() >= limits_.most_connections) DropOldestIdle();
-    connection = std::make_unique<Connection>(*this, request.host, request.dial);
-    ++opened_;
+    connection = std::make_unique<Connection>(*this, request.host, request.dial, ++counts_.opened);
+  } else {
+    ++counts_.reused;
   }
   Connection* raw = connection.get();
   busy_.emplace(raw, std::move(connection));
   raw->Begin(request, connect);
 }
 
-void CallPool::Finished(Connection& connection, const CallResult& result, After after) {
+void CallPool::Finished(Connection& connection, const CallResult& result, After after, Distrust why) {
   auto node = busy_.extract(&connection);
   if (node.empty()) return;
-  if (after == After::kReuse) {
+  if (state::IsAnswer(result.ending) && !connection.judged()) Break(connection, Distrust::kState);
+  if (after == After::kKeep) {
     KeepIdle(std::move(node.mapped()));
   } else if (after == After::kAwaitRest) {
-    connection.Rest(false);
+    connection.AwaitRest();
     rest_.insert(std::move(node));
   } else {
+    ClosedFor(connection, why);
     Bury(std::move(node.mapped()));
   }
   ended_(result);
 }
 
-void CallPool::RestEnded(Connection& connection, bool reusable) {
+void CallPool::RestEnded(Connection& connection, Distrust why) {
   auto node = rest_.extract(&connection);
   if (node.empty()) return;
-  reusable ? KeepIdle(std::move(node.mapped())) : Bury(std::move(node.mapped()));
+  if (why == Distrust::kNone) return KeepIdle(std::move(node.mapped()));
+  ClosedFor(connection, why);
+  Bury(std::move(node.mapped()));
 }
 
 void CallPool::KeepIdle(std::unique_ptr<Connection> connection) {
-  connection->Rest(true);
+  connection->Settle();
   idle_[connection->host()].push_back(std::move(connection));
   ++idle_count_;
 }
 
-void CallPool::IdleEnded(Connection& connection) {
+// It ended, or said something that nobody asked for.
+void CallPool::IdleEnded(Connection& connection, std::string_view bytes) {
   Idle& idle = idle_[connection.host()];
   const auto it =
       std::find_if(idle.begin(), idle.end(), [&](const auto& c) { return c.get() == &connection; });
   if (it == idle.end()) return;
-  Bury(std::move(*it));
+  std::unique_ptr<Connection> ended = std::move(*it);
   idle.erase(it);
   --idle_count_;
+  ClosedFor(connection, bytes.empty() ? Distrust::kOtherSide : Distrust::kUnread);
+  if (!bytes.empty()) Said(connection, Distrust::kUnread, bytes.size(), UnaskedWait(bytes));
+  Bury(std::move(ended));
 }
 
-std::size_t CallPool::idle(const std::string& host, const std::string& dial) const {
+std::size_t CallPool::idle(const std::string& host, const std::string& dial, bool first_call_only) const {
   const auto it = idle_.find(host);
   if (it == idle_.end()) return 0;
   return static_cast<std::size_t>(std::count_if(it->second.begin(), it->second.end(), [&](const auto& c) {
-    return c->dial() == dial && !Stale(*c) && c->silent();
+    return c->MayCarry(dial, first_call_only) == Distrust::kNone;
   }));
 }
 
-// Only one on which nothing lies: not one that the other side has closed, where a call would end as a reset
-// and might seem to have run, nor one with unread bytes, which would be taken for the next call's answer.
-std::unique_ptr<CallPool::Connection> CallPool::TakeIdle(const std::string& host, const std::string& dial) {
-  const auto it = idle_.find(host);
-  while (it != idle_.end() && !it->second.empty()) {
-    std::unique_ptr<Connection> connection = std::move(it->second.back());
-    it->second.pop_back();
+std::unique_ptr<CallPool::Connection> CallPool::TakeIdle(const CallRequest& request) {
+  const auto it = idle_.find(request.host);
+  if (it == idle_.end()) return nullptr;
+  Idle& idle = it->second;
+  Distrust first_why = Distrust::kNone;
+  for (std::size_t at = 0; at < idle.size();) {
+    const Distrust why = idle[at]->MayCarry(request.dial, request.first_call_only);
+    if (first_why == Distrust::kNone) first_why = why;
+    if (why == Distrust::kSettling || why == Distrust::kFirstOnly) {
+      ++at;
+      continue;
+    }
+    // What lies there is read in this pass of the loop, and speaks against all others of this endpoint.
+    if (why == Distrust::kUnread && idle[at]->unread() > 0) break;
+    std::unique_ptr<Connection> connection = std::move(idle[at]);
+    idle.erase(idle.begin() + static_cast<std::ptrdiff_t>(at));
     --idle_count_;
-    if (connection->dial() == dial && !Stale(*connection) && connection->silent()) return connection;
+    if (why == Distrust::kNone) return connection;
+    ClosedFor(*connection, why);
   }
+  ++counts_.not_reused[static_cast<std::size_t>(first_why)];
   return nullptr;
 }
 
-bool CallPool::Stale(const Connection& connection) const {
+bool CallPool::Worn(const Connection& connection) const {
   const Micros limit = limits_.idle_close - std::min<Micros>(kIdleMargin, limits_.idle_close / 4);
-  return limits_.idle_close > Micros(0) && loop_.Now() - connection.idle_since() >= limit;
+  return limits_.idle_close > Micros(0) && loop_.Now() - connection.life().since() >= limit;
 }
 
 void CallPool::DropOldestIdle() {
   Idle* oldest = nullptr;
   for (auto& [dial, idle] : idle_) {
-    if (!idle.empty() && (oldest == nullptr || idle.front()->idle_since() < oldest->front()->idle_since())) {
+    if (!idle.empty() &&
+        (oldest == nullptr || idle.front()->life().since() < oldest->front()->life().since())) {
       oldest = &idle;
     }
   }
   if (oldest == nullptr) return;
+  ClosedFor(*oldest->front(), Distrust::kNone);
   oldest->erase(oldest->begin());
   --idle_count_;
 }
@@ -118,10 +140,16 @@
 void CallPool::CloseIdle(const std::string& host) {
   const auto it = idle_.find(host);
   if (it == idle_.end()) return;
+  const Distrust why = suspects_.Suspect(host, loop_.Now()) ? Distrust::kSuspect : Distrust::kNone;
+  for (const auto& connection : it->second) ClosedFor(*connection, why);
   idle_count_ -= it->second.size();
   idle_.erase(it);
 }
 
+void CallPool::CloseAllIdle() {
+  while (!idle_.empty()) CloseIdle(std::string(idle_.begin()->first));
+}
+
 void CallPool::EndUnstarted() {
   std::vector<Connection*> unstarted;
   for (const auto& [raw, connection] : busy_)
@@ -137,9 +165,13 @@
   sweep_.Stop(), bury_.Stop();
 }
 
-void CallPool::CloseStale() {
+void CallPool::CloseWorn() {
   for (auto it = idle_.begin(); it != idle_.end();) {
-    idle_count_ -= std::erase_if(it->second, [this](const auto& connection) { return Stale(*connection); });
+    idle_count_ -= std::erase_if(it->second, [this](const auto& connection) {
+      if (!Worn(*connection)) return false;
+      ClosedFor(*connection, Distrust::kWorn);
+      return true;
+    });
     it = it->second.empty() ? idle_.erase(it) : std::next(it);
   }
   sweep_.Start(kSweepEvery);
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -56,6 +56,7 @@
       arrived_timer_(loop, [this] { Arrived(); }),
       standby_timer_(loop, [this] { BeginCalls(); }) {
   discovery_at_ = config_.discovery;
+  pool_.Observe(*this);
   uv_prepare_init(loop.raw(), &prepare_);
   uv_check_init(loop.raw(), &check_);
   uv_idle_init(loop.raw(), &idle_);
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -40,6 +40,7 @@
              private net::Notices::Handler,
              private net::ControlServer::Handler,
              private net::AdminServer::Handler,
+             private net::CallObserver,
              private Changes::Owner {
  public:
   Node(net::Loop& loop, Beginning beginning, base::Log& log);
@@ -72,6 +73,15 @@
   net::CallPool::StartPermit MayBegin(std::uint64_t serial);
   static Action CallAction(const state::Owed& owed);  // a first call, or one more
   void OnCallEnded(const net::CallResult& result);
+  // What the pool sees on its connections (node_connections.cpp).
+  void OnUnasked(const net::UnaskedBytes& unasked) override;
+  void OnNotBelieved(const net::DisbelievedAnswer& answer) override;
+  void OnConnectionClosed(const net::ClosedConnection& closed) override;
+  void OnDoubted(const std::vector<std::uint64_t>& serials) override;
+  void OnTrustBreak(const net::ClosedConnection& connection) override;
+  std::string ConnectionFigures() const;
+  nlohmann::json ConnectionStatus() const;
+  void ReportConnections();
   void OnControl(std::uint64_t peer, std::string_view line) override;
   void OnControlRefused(std::uint64_t uid, std::string_view reason) override;
   net::AdminAnswer OnAdmin(std::string_view method, std::string_view path) override;
@@ -104,6 +114,7 @@
   void Adopt(Config next) override;
 
   bool AnswersItsClient(state::Serial serial) const;
+  bool FirstCallOnly(state::Serial serial) const;
   void Push(state::Event event);
   void Wake();
   void BeginPass();
@@ -117,6 +128,7 @@
   void Do(state::TellOutcome& e);
   void Do(state::TellList& e);
   void Do(state::TellListLost& e);
+  void Do(state::TellWait& e);
   void Do(state::TellStop& e);
   void Do(state::TellZoneUnsure& e);
   void Do(state::TellSettings& e);
--- a/src/node/node_figures.cpp
+++ b/src/node/node_figures.cpp
@@ -8,6 +8,7 @@
 
 #include "base/log_events.h"
 #include "base/version.h"
+#include "node/counts_by_name.h"
 #include "node/node.h"
 #include "node/shares.h"
 
@@ -19,17 +20,6 @@
 constexpr Micros kReportEvery = seconds(10);
 constexpr Micros kTickEvery = seconds(1);
 
-// Such as "12 delivered, 3 error": counts by the number of their kind, without zeros.
-template <typename Kind, std::size_t size>
-std::string CountsByName(const std::array<std::uint64_t, size>& counts) {
-  std::string text;
-  for (std::size_t i = 0; i < size; ++i) {
-    if (counts[i] == 0) continue;
-    text += fmt::format("{}{} {}", text.empty() ? "" : ", ", counts[i], NameOf(static_cast<Kind>(i)));
-  }
-  return text;
-}
-
 }  // namespace
 
 // Every class named now, and those that a change has dropped, which still count.
@@ -61,7 +51,7 @@
       changes_.reload_errors(), brain_->slow_start().recovering, brain_->slow_start().calls, WatchLosses(),
       std::accumulate(lifecycle_.denied().begin(), lifecycle_.denied().end(), std::uint64_t{0}),
       lifecycle_.breaks());
-  return out;
+  return out + ConnectionFigures();
 }
 
 std::uint64_t Node::WatchLosses() const { return watch_losses_.total() + new_watch_losses_.total(); }
@@ -105,6 +95,7 @@
       {"clients", {{"now", server_.connections()}, {"most", ClientsPart(config_)}}},
       {"calls",
        {{"connections", pool_.connections()}, {"most", CallsPart(config_)}, {"opened", pool_.opened()}}},
+      {"connections", ConnectionStatus()},
       {"slow_start",
        {{"recovering", brain_->slow_start().recovering}, {"calls", brain_->slow_start().calls}}},
       {"journal",
@@ -139,6 +130,7 @@
              server_.connections(), pool_.connections(), pool_.opened(), state_.journal_size, calls,
              log_.dropped(), brain_->slow_start().recovering, brain_->slow_start().calls, WatchLosses(),
              CountsByName<net::ClientEnd>(client_ends_), unsure_rules_);
+  ReportConnections();
   if (watcher_) log_.Write(base::kWatch, watcher_->messages(), watcher_->Text());
   report_timer_.Start(kReportEvery);
 }
--- a/src/node/node_log.cpp
+++ b/src/node/node_log.cpp
@@ -107,10 +107,12 @@
   const std::string rules = Describe(owed.taken.rules);
   if (result.ending == state::Ending::kDelivered) {
     log_.Write(base::kCallDelivered, owed.taken.id, owed.taken.destination, owed.endpoint, attempt,
-               state::NameOf(result.ending), result.latency, result.wait, rules);
+               state::NameOf(result.ending), result.latency, result.wait, rules, result.connection.number,
+               result.connection.calls, result.connection.age);
   } else {
     log_.Write(base::kCallEnded, owed.taken.id, owed.taken.destination, owed.endpoint, attempt,
-               state::NameOf(result.ending), result.latency, result.wait, rules);
+               state::NameOf(result.ending), result.latency, result.wait, rules, result.connection.number,
+               result.connection.calls, result.connection.age);
   }
 }
 
--- a/src/node/node_stop.cpp
+++ b/src/node/node_stop.cpp
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "base/log_events.h"
+#include "node/counts_by_name.h"
 #include "node/node.h"
 
 namespace indigosaddle::node {
@@ -17,16 +18,6 @@
   return counts[static_cast<std::size_t>(action)];
 }
 
-std::string Denied(const ActionCounts& counts) {
-  std::string text;
-  for (std::size_t i = 0; i < counts.size(); ++i) {
-    if (counts[i] == 0) continue;
-    if (!text.empty()) text += ", ";
-    text += std::to_string(counts[i]) + " " + std::string(NameOf(static_cast<Action>(i)));
-  }
-  return text;
-}
-
 }  // namespace
 
 bool Node::May(Action action) { return lifecycle_.May(action, loop_.Now()); }
@@ -39,7 +30,7 @@
              change.since_signal, CountOf(done, Action::kAdmit), CountOf(done, Action::kRead),
              CountOf(done, Action::kTake), CountOf(change.denied, Action::kTake),
              CountOf(done, Action::kBegin), CountOf(done, Action::kRepeat), CountOf(done, Action::kNotice),
-             std::exchange(clients_ended_in_phase_, 0), Denied(change.denied), state_.open(),
+             std::exchange(clients_ended_in_phase_, 0), CountsByName<Action>(change.denied), state_.open(),
              server_.connections(), pool_.calls());
   stepped_in_phase_ = false;
   passes_since_step_ = 0;
--- a/src/node/node_turn.cpp
+++ b/src/node/node_turn.cpp
@@ -115,6 +115,10 @@
   brain_->OnListOutdated(e.outdated_from);
   if (watcher_) watcher_->OnListFailed(e.outdated_from);
 }
+void Node::Do(state::TellWait& e) {
+  brain_->OnToldWait(e.endpoint, e.wait);
+  if (watcher_) watcher_->OnToldWait(e.endpoint, e.wait);
+}
 void Node::Do(state::TellStop& e) {
   brain_->OnStop(e.at);
   if (watcher_) watcher_->OnStop(e.at);
@@ -171,7 +175,7 @@
     return Push(state::CallEnded{e.serial, state::Ending::kNotStarted, none, none, {}, loop_.Now()});
   }
   pool_.Start({e.serial, std::move(e.dial), std::move(e.endpoint), std::move(e.id),
-               std::move(e.idempotency_key), std::move(e.body), e.timeout});
+               std::move(e.idempotency_key), std::move(e.body), e.timeout, FirstCallOnly(e.serial)});
 }
 
 void Node::Do(state::PostNotices& e) {
@@ -190,11 +194,15 @@
 void Node::Send(MessageId id, const EndpointId& endpoint, Micros timeout) {
   if (watcher_) watcher_->Sent(id, endpoint);
   const auto listed = state_.listed.find(endpoint);
-  const bool connected =
-      listed != state_.listed.end() && on_idle_[endpoint] < pool_.idle(endpoint, listed->second.dial);
+  const bool connected = listed != state_.listed.end() &&
+                         on_idle_[endpoint] < pool_.idle(endpoint, listed->second.dial, FirstCallOnly(id));
   on_idle_[endpoint] += connected ? 1 : 0;
   decisions_.emplace_back(state::WantsSend{id, endpoint, timeout, now_, connected});
 }
+bool Node::FirstCallOnly(state::Serial serial) const {
+  const auto owed = state_.owed.find(serial);
+  return owed == state_.owed.end() || WantsFirstCall(owed->second.taken.rules);
+}
 bool Node::Refuse(MessageId id, Micros not_before, GiveUpCause cause) {
   if (watcher_) watcher_->Refused(id);
   decisions_.emplace_back(state::WantsRefusal{id, not_before, cause});
--- a/src/state/effects.h
+++ b/src/state/effects.h
@@ -35,6 +35,10 @@
 struct TellListLost {
   Micros outdated_from{0};
 };
+struct TellWait {
+  EndpointId endpoint;
+  Micros wait{0};
+};
 struct TellStop {
   Micros at{0};
 };
@@ -115,10 +119,10 @@
   Micros taken_at{0};                  // zero: before a restart
   std::optional<GiveUpCause> cause{};  // nothing: delivered or withdrawn
 };
-using Effect =
-    std::variant<TellMessage, TellWithdrawn, TellAnswerTold, TellOutcome, TellList, TellListLost, TellStop,
-                 TellZoneUnsure, TellSettings, AppendJournal, RewriteJournal, Reply, StartCall, PostNotices,
-                 ArmTimer, RenewWatch, CloseIdle, Note, MessageResumed, MessageDoubted, MessageOver>;
+using Effect = std::variant<TellMessage, TellWithdrawn, TellAnswerTold, TellOutcome, TellList, TellListLost,
+                            TellWait, TellStop, TellZoneUnsure, TellSettings, AppendJournal, RewriteJournal,
+                            Reply, StartCall, PostNotices, ArmTimer, RenewWatch, CloseIdle, Note,
+                            MessageResumed, MessageDoubted, MessageOver>;
 using Effects = std::vector<Effect>;
 
 }  // namespace indigosaddle::state
--- a/src/state/events.h
+++ b/src/state/events.h
@@ -59,6 +59,10 @@
   LoadReport load;
   Micros at{0};
 };
+struct WaitTold {  // by an endpoint, outside of a call's answer
+  EndpointId endpoint;
+  Micros wait{0};
+};
 struct AnswersDoubted {  // answers that ended these messages may have been others' on their connections
   std::vector<Serial> serials;
 };
@@ -102,8 +106,9 @@
 struct JournalWritten {
   bool ok = false;
 };
-using Event = std::variant<Recovered, ClientMessage, ClientGone, ListNews, ListLost, CallBegins, CallEnded,
-                           AnswersDoubted, NoticesTaken, StopAsked, SettingsChanged, WantsSend, WantsRefusal,
-                           WantsFailure, WantsTimer, WantsWatch, WantsIdleClosed, TurnEnded, JournalWritten>;
+using Event =
+    std::variant<Recovered, ClientMessage, ClientGone, ListNews, ListLost, CallBegins, CallEnded, WaitTold,
+                 AnswersDoubted, NoticesTaken, StopAsked, SettingsChanged, WantsSend, WantsRefusal,
+                 WantsFailure, WantsTimer, WantsWatch, WantsIdleClosed, TurnEnded, JournalWritten>;
 
 }  // namespace indigosaddle::state
--- a/src/state/keeper.h
+++ b/src/state/keeper.h
@@ -38,7 +38,8 @@
     Owed* owed = FindForEnd(r);
     if (owed == nullptr) return;
     owed->ended = r;
-    state_.by_id.erase(owed->taken.id);
+    const auto by_id = state_.by_id.find(owed->taken.id);
+    if (by_id != state_.by_id.end() && by_id->second == r.serial) state_.by_id.erase(by_id);
     owed->taken.body = {};  // nothing is sent any more
     state_.recent.Add(owed->taken, r.end);
     SetRoom(*owed, r.end == End::kNothingOwed ? 0 : RecordBytes(owed->taken) + kLaterRecords);
--- a/src/state/reducer.cpp
+++ b/src/state/reducer.cpp
@@ -27,6 +27,7 @@
     std::set<Serial> before;
     for (const auto& [serial, owed] : state_.owed) before.insert(serial);
     for (const Record& record : e.records) std::visit(keep_, record);
+    WithdrawTwins(before);
     std::vector<Serial> serials;
     for (const auto& [serial, owed] : state_.owed) {
       if (!before.contains(serial)) serials.push_back(serial);
@@ -113,6 +114,8 @@
     keep_.Drop(e.serial);
   }
 
+  void operator()(const WaitTold& e) { effects_.emplace_back(TellWait{e.endpoint, e.wait}); }
+
   // The end is told after all: that does no harm where the answer was the message's own.
   void operator()(const AnswersDoubted& e) {
     for (Serial serial : e.serials) {
@@ -220,6 +223,20 @@
   }
 
  private:
+  // What this process took on while the one before it knew the same command already. A successor has begun no
+  // call until then.
+  void WithdrawTwins(const std::set<Serial>& own) {
+    for (const Serial serial : own) {
+      const Owed& owed = state_.owed.at(serial);
+      if (owed.ended || owed.out || owed.unanswered) continue;
+      const auto named = state_.by_id.find(owed.taken.id);
+      const bool owed_before = named != state_.by_id.end() && named->second != serial;
+      if (!owed_before && !state_.recent.Has(owed.taken.id)) continue;
+      effects_.emplace_back(TellWithdrawn{serial});
+      Record_(Ended{serial, End::kNothingOwed, Micros(0)});
+      keep_.Drop(serial);
+    }
+  }
   // A command that has come before is answered as it was, whatever became of its message.
   bool SameOnceMore(const ClientMessage& e) {
     const std::string& id = e.message.id;
--- a/tests/call_endings.h
+++ b/tests/call_endings.h
@@ -53,6 +53,12 @@
     }
     ASSERT_NE(taken.find("\r\n\r\nbody"), std::string::npos);
   }
+  // Past the silence behind which a connection is used again.
+  void Settle() {
+    const auto end = Clock::now() + ConnectionLife::kSilence + milliseconds(5);
+    while (Clock::now() < end)
+      uv_run(loop.raw(), UV_RUN_NOWAIT), std::this_thread::sleep_for(milliseconds(5));
+  }
   Ending RunToAnEnd() {
     const std::size_t before = results.size();
     while (results.size() == before) loop.Run();
--- a/tests/call_pool_endings_test.cpp
+++ b/tests/call_pool_endings_test.cpp
@@ -87,6 +87,7 @@
   Socket socket = Accept();
   ASSERT_TRUE(socket.Write(Answer(200)));
   ASSERT_EQ(RunToAnEnd(), Ending::kDelivered);
+  Settle();
   Start();  // written to the idle connection
   socket.Close();
   EXPECT_EQ(RunToAnEnd(), Ending::kBrokenAfterSent);
@@ -101,6 +102,7 @@
   Socket socket = Accept();
   ASSERT_TRUE(socket.Write(Answer(200)));
   ASSERT_EQ(RunToAnEnd(), Ending::kDelivered);
+  Settle();
   Start();
   ASSERT_TRUE(socket.Write("HTTP/1.1 200 O"));  // no answer to this call
   ReadCall(socket);
@@ -166,7 +168,10 @@
   Socket socket = Accept();
   ASSERT_TRUE(socket.Write(Answer(200)));
   RunToAnEnd();
+  EXPECT_EQ(pool.idle("s-1", dial), 0u);  // not silent for long enough
+  Settle();
   EXPECT_EQ(pool.idle("s-1", dial), 1u);
+  EXPECT_EQ(pool.idle("s-1", dial, true), 0u);  // for a first call only
   EXPECT_EQ(pool.idle("s-1", "127.0.0.1:1"), 0u);
   EXPECT_EQ(pool.idle("s-2", dial), 0u);
   ASSERT_TRUE(socket.Write("x"));
--- a/tests/state_recent_test.cpp
+++ b/tests/state_recent_test.cpp
@@ -118,5 +118,24 @@
   EXPECT_EQ(play.state.open(), 1u);
 }
 
+// Guards against a message that runs at both processes of a hand-over, since its command came to both.
+TEST_F(Recent, ASuccessorWithdrawsWhatTheProcessBeforeItKnows) {
+  Deliver("over");
+  play.Owe("owed");
+  Play next;
+  next.Owe("over");
+  next.Owe("owed");
+  next.Owe("own");
+  std::vector<Record> before = ParseJournal(play.journal).records;
+  for (Record& record : before) std::visit([](auto& r) { r.serial += 1000; }, record);
+  next.effects.clear();
+  next.Event_(Recovered{before, Micros(0)});
+  next.Turn();
+  EXPECT_EQ(next.All<TellWithdrawn>().size(), 2u);
+  EXPECT_EQ(next.state.open(), 2u);
+  EXPECT_GT(next.state.by_id.at("owed"), 1000u);
+  EXPECT_TRUE(next.state.recent.Has("over"));
+}
+
 }  // namespace
 }  // namespace indigosaddle::state
