A spoilt answer is no sign of copies; signs at two endpoints speak for all only within 30 s

Why it works: such an answer is still not believed on a used connection (it may be two halves), but IsSign says that it speaks of no other call's answer; and two endpoints with signs of their own, minutes apart, are no proxy.

--- a/src/brain/connection_trust.cpp
+++ b/src/brain/connection_trust.cpp
@@ -27,6 +27,7 @@
   if (facts.held_up) return Distrust::kHeldUp;
   if (first) return Distrust::kNone;
   if (facts.suspect_endpoint) return Distrust::kSuspect;
+  if (facts.spoilt) return Distrust::kSpoilt;
   return facts.more_behind ? Distrust::kMoreBehind : Distrust::kNone;
 }
 
@@ -66,6 +67,7 @@
     case Distrust::kFirstOnly: return "first call only";
     case Distrust::kEarly: return "early answer";
     case Distrust::kMoreBehind: return "more behind the answer";
+    case Distrust::kSpoilt: return "spoilt on a used connection";
     case Distrust::kHeldUp: return "held up at the writing";
     case Distrust::kNotDelivered: return "no delivery on a used connection";
     case Distrust::kMoved: return "another address";
@@ -85,6 +87,11 @@
 
 bool WantsFirstCall(const RepeatRules& rules) { return rules.effect == Effect::kUnsafe; }
 
+bool IsSign(Distrust why) {
+  return why == Distrust::kUnread || why == Distrust::kEarly || why == Distrust::kMoreBehind ||
+         why == Distrust::kHeldUp;
+}
+
 void ConnectionLife::Call(Micros now) {
   Enter(calls_ == 0 ? ConnectionState::kInFirstCall : ConnectionState::kInLaterCall, now);
   ++calls_;
@@ -98,7 +105,10 @@
 bool SuspectEndpoints::Sign(const EndpointId& endpoint, Micros now) {
   std::erase_if(until_, [now](const auto& entry) { return entry.second <= now; });
   until_[endpoint] = now + kSuspectFor;
-  if (until_.size() < kSuspectsForAll) return false;
+  const Micros latest = now + kSuspectFor - kOneCauseWithin;
+  const auto of_late = std::count_if(until_.begin(), until_.end(),
+                                     [latest](const auto& entry) { return entry.second >= latest; });
+  if (static_cast<std::size_t>(of_late) < kSuspectsForAll) return false;
   const bool news = !All(now);
   all_until_ = now + kSuspectFor;
   return news;
--- a/src/brain/connection_trust.h
+++ b/src/brain/connection_trust.h
@@ -46,6 +46,7 @@
   kFirstOnly,     // the message may not be repeated: its call is the first of a connection
   kEarly,         // before the call's last byte had left
   kMoreBehind,    // more came with the answer
+  kSpoilt,        // it can't be read to its end, or is cut: on a used connection it may be two halves
   kHeldUp,        // bytes came between the look for them and the writing of the call
   kNotDelivered,  // no delivery, on a used connection: the call's own answer may still be owed
   kMoved,         // the endpoint has another address by now
@@ -68,6 +69,7 @@
   bool refusal = false;      // it says that the call has not run
   bool delivered = false;    // it says that the message is delivered
   bool more_behind = false;  // bytes behind it
+  bool spoilt = false;       // its first line alone can be read
   bool held_up = false;      // something lay there as the call was written
   bool keep_alive = true;    // whole, readable, and the other side goes on
 };
@@ -109,13 +111,18 @@
   std::uint64_t calls_ = 0;
 };
 
+// Whether it speaks of the endpoint that an answer is not believed, or that bytes came, for this reason. A
+// spoilt answer is the endpoint's own fault and no other call's answer.
+bool IsSign(Distrust why);
+
 // Endpoints that have said something unasked. Each of their calls has a connection of its own.
 class SuspectEndpoints {
  public:
   // Behind the latest sign. A peer that says things twice does so until it is mended.
   static constexpr Micros kSuspectFor = std::chrono::minutes(10);
-  // So many at once speak for something in front of all of them.
+  // So many, with signs within so long, speak for something in front of all of them.
   static constexpr std::size_t kSuspectsForAll = 2;
+  static constexpr Micros kOneCauseWithin = std::chrono::seconds(30);
   // Answers that were believed on a used connection so long before a sign are doubtful with it.
   static constexpr Micros kDoubtBefore = std::chrono::seconds(10);
 
--- a/src/net/call_answer.cpp
+++ b/src/net/call_answer.cpp
@@ -84,8 +84,9 @@
 // An answer of which a part is missing, or not to be read. On a used connection it may be two halves.
 void CallPool::Connection::Spoilt() {
   if (reader_.status() != 200) return End(state::Ending::kUnreadable, Distrust::kOtherSide);
-  const bool later = life_.calls() > 1;
-  const Distrust why = Judge(FactsOfAnswer(state::Ending::kDelivered, later), ConnectionUse::kBelieveAnswer);
+  ConnectionFacts facts = FactsOfAnswer(state::Ending::kDelivered, false);
+  facts.spoilt = true;
+  const Distrust why = Judge(facts, ConnectionUse::kBelieveAnswer);
   if (why != Distrust::kNone) return Disbelieve(why, state::Ending::kDelivered);
   judged_ = true;
   End(state::Ending::kDelivered, Distrust::kOtherSide);
@@ -113,7 +114,7 @@
 // The call ends as one that may have run, or that has never left. A wait binds whoever it was told to.
 void CallPool::Connection::Disbelieve(Distrust why, state::Ending said) {
   pool_.NotBelieved(*this, why, said);
-  if (why != Distrust::kSuspect) pool_.Said(*this, why, last_read_);
+  if (IsSign(why)) pool_.Said(*this, why, last_read_);
   CallResult result = ResultOf(sent_ ? state::Ending::kUnreadable : state::Ending::kBrokenBeforeSent);
   result.wait = ToldWait(reader_);
   pool_.Finished(*this, result, After::kClose, why);
--- a/src/state/recent_ends.h
+++ b/src/state/recent_ends.h
@@ -26,13 +26,14 @@
   };
 
   void Add(Taken taken, End end) {
-    Remove(taken.serial);
+    const Serial serial = taken.serial;
+    Remove(serial);
     taken.body.clear();
-    const std::size_t bytes = RecordBytes(taken) + RecordBytes(Ended{taken.serial, end, Micros(0)});
-    by_id_[taken.id] = taken.serial;
-    by_time_.emplace(taken.give_up_at, taken.serial);
+    const std::size_t bytes = RecordBytes(taken) + RecordBytes(Ended{serial, end, Micros(0)});
+    by_id_[taken.id] = serial;
+    by_time_.emplace(taken.give_up_at, serial);
     bytes_ += bytes;
-    entries_.emplace(taken.serial, Entry{std::move(taken), end, bytes});
+    entries_.emplace(serial, Entry{std::move(taken), end, bytes});
   }
   // To so many bytes of a journal: those that are over first go first.
   void LimitTo(std::size_t bytes) {
--- a/tests/brain_connection_trust_test.cpp
+++ b/tests/brain_connection_trust_test.cpp
@@ -63,6 +63,9 @@
     facts.suspect_endpoint = false;
     facts.more_behind = true;
     EXPECT_EQ(Believe(facts), first ? Distrust::kNone : Distrust::kMoreBehind);
+    facts.more_behind = false;
+    facts.spoilt = true;
+    EXPECT_EQ(Believe(facts), first ? Distrust::kNone : Distrust::kSpoilt);
     facts.held_up = true;
     EXPECT_EQ(Believe(facts), Distrust::kHeldUp);
   }
@@ -116,6 +119,11 @@
   EXPECT_TRUE(suspects.Sign("b", seconds(3)));
   EXPECT_TRUE(suspects.Suspect("c", seconds(3)));
   EXPECT_FALSE(suspects.Sign("c", seconds(3)));  // no news
+  SuspectEndpoints apart;                        // each for a reason of its own
+  EXPECT_FALSE(apart.Sign("a", seconds(1)));
+  EXPECT_FALSE(apart.Sign("b", seconds(2) + SuspectEndpoints::kOneCauseWithin));
+  EXPECT_TRUE(apart.Suspect("a", seconds(40)));
+  EXPECT_FALSE(apart.Suspect("c", seconds(40)));
   const Micros over = seconds(3) + SuspectEndpoints::kSuspectFor;
   EXPECT_FALSE(suspects.Suspect("c", over));
   EXPECT_EQ(suspects.Count(over), 0u);
--- a/tests/call_pool_copies_test.cpp
+++ b/tests/call_pool_copies_test.cpp
@@ -90,11 +90,14 @@
   EXPECT_EQ(RunToAnEnd(), Ending::kUnreadable);
 }
 
+// Nor is it a sign: an endpoint that spoils its own answers says nothing twice.
 TEST_F(CallCopies, HalfACopyThatTheConnectionsEndCutsIsNoDelivery) {
   Socket socket = InLaterCall();
   ASSERT_TRUE(socket.Write("HTTP/1.1 200 OK\r\nCont"));
   socket.Close();
   EXPECT_EQ(RunToAnEnd(), Ending::kUnreadable);
+  EXPECT_EQ(not_believed, 1);
+  EXPECT_EQ(unasked, 0);
 }
 
 // Guards against a wait that is not heeded since a copy has ended the call which it was told to.
