--- a/src/brain/connection_trust.h
+++ b/src/brain/connection_trust.h
@@ -85,7 +85,7 @@
  public:
   // How long a connection has to be silent behind an answer before it carries another call. A copy that
   // comes within it is met.
-  static constexpr Micros kSilence = std::chrono::seconds(1);
+  static constexpr Micros kSilence = std::chrono::milliseconds(300);
   // From the look for unread bytes to the end of the writing: longer, and the look is taken again.
   static constexpr Micros kLookHolds = std::chrono::milliseconds(1);
 
