--- a/tests/node_copies_soak_test.cpp
+++ b/tests/node_copies_soak_test.cpp
@@ -128,7 +128,7 @@
     for (auto& node : nodes_) {
       EXPECT_FALSE(node->Ended()) << "a process is gone";
       EXPECT_EQ(node->alive_at_kill(), 0) << "alive at the earliest kill";
-      EXPECT_EQ(node->Logs().find(".break "), std::string::npos);
+      EXPECT_EQ(node->Breaks(), "");
     }
     EXPECT_EQ(endpoints_[0]->CallsFrom(drained_at_ + kDrainTold), 0) << "called although it drains";
     const auto calls = record_.calls();
--- a/tests/stop_soak_node.h
+++ b/tests/stop_soak_node.h
@@ -79,16 +79,9 @@
     return all;
   }
   // The steps of its stops, for a failure's trace.
-  std::string Phases() const {
-    std::istringstream lines(Logs());
-    std::string steps;
-    for (std::string line; std::getline(lines, line);) {
-      const bool step =
-          line.find(" phase ") != std::string::npos || line.find(" serving ") != std::string::npos;
-      if (step) steps += line + "\n";
-    }
-    return steps;
-  }
+  std::string Phases() const { return Lines({" phase ", " serving "}); }
+  // What it did against its own tables.
+  std::string Breaks() const { return Lines({".break "}); }
   bool Ended() {
     const std::lock_guard lock(mutex_);
     return current_->Ended();
@@ -98,6 +91,18 @@
   SoakClient::NodeView view;
 
  private:
+  std::string Lines(const std::vector<std::string>& marks) const {
+    std::istringstream lines(Logs());
+    std::string found;
+    for (std::string line; std::getline(lines, line);) {
+      const bool marked = std::any_of(marks.begin(), marks.end(), [&](const std::string& mark) {
+        return line.find(mark) != std::string::npos;
+      });
+      if (marked) found += line + "\n";
+    }
+    return found;
+  }
+
   // Milliseconds, at most.
   static constexpr int kPause = 900, kPauseInStop = 120, kBetweenInARow = 20, kMostHeld = 150;
   static constexpr int kMostInARow = 4;
