Intake is granted once a turn, so that no +OK of a turn comes behind the end that the turn itself noticed

Cause: each command of a turn asked for the phase anew.

Why it holds: what was granted holds for the turn; a refusal is asked for each time and counted, as before.

--- a/src/node/node_turn.cpp
+++ b/src/node/node_turn.cpp
@@ -49,9 +49,11 @@
   brain_->OnTurnStart(now_);
   if (watcher_) watcher_->OnTurnStart(now_);
   for (state::Effect& effect : std::exchange(later_, {})) Carry(effect);
+  bool may_take = false;
   for (state::Event& event : std::exchange(events_, {})) {
     auto* message = std::get_if<state::ClientMessage>(&event);
-    if (message != nullptr) message->may_take = May(Action::kTake);
+    // Once granted it holds for the turn: its +OK comes behind all of the turn's events.
+    if (message != nullptr) message->may_take = may_take = may_take || May(Action::kTake);
     Reduce(event);
     // A client that has closed meanwhile has withdrawn, though the loop has not read that yet.
     if (message != nullptr && server_.Gone(message->client.connection)) {
