Review case 4: a restarted node sends by its old list before it asks discovery

Cause: Node::Start begins calls for resumed messages by the kept list before the request for the list is made. Change: a case with a restart during which endpoints are replaced at the addresses of others that have gone.

--- a/review/lib/world.py
+++ b/review/lib/world.py
@@ -140,6 +140,9 @@
         self.server = await asyncio.start_server(self.handle, "127.0.0.1", 0)
         self.address = "127.0.0.1:%d" % self.server.sockets[0].getsockname()[1]
 
+    def whole_list(self):
+        return {"seq": self.seq, "whole": True, "hosts": list(self.entries.values())}
+
     def set(self, entry):
         self.seq += 1
         if entry["health"] == "Gone":
@@ -308,6 +311,10 @@
             os.kill(process.pid, number)
         return time.time()
 
+    async def kill(self, process):
+        self.signal(process, signal.SIGKILL)
+        await process.wait()
+
     async def end(self, process, grace=3.7):
         """SIGTERM, and SIGKILL once the grace is over."""
         self.signal(process, signal.SIGTERM)
@@ -372,9 +379,10 @@
 class Traffic:
     """Messages of usual clients at a steady rate, each on a new connection, to the destinations in turn."""
 
-    def __init__(self, world, node, deadline, per_second, destinations, cls="zone-notice", keyed=True):
+    def __init__(self, world, node, deadline, per_second, destinations, cls="zone-notice", keyed=True,
+                 size=0):
         self.world, self.node, self.deadline, self.gap = world, node, deadline, 1.0 / per_second
-        self.destinations, self.cls, self.keyed = destinations, cls, keyed
+        self.destinations, self.cls, self.keyed, self.size = destinations, cls, keyed, size
         self.count, self.tasks, self.loop_task = 0, [], None
 
     def start(self):
@@ -389,7 +397,7 @@
     async def one(self, number):
         client = Client(self.world, self.node.port)
         await client.send("%016x" % (0x9b1f03aa00000000 + number), self.cls, number % self.destinations + 1,
-                          self.deadline, b"notice %d" % number,
+                          self.deadline, (b"notice %d" % number).ljust(self.size, b"."),
                           key="%016x" % (0x5c0f6e1a00000000 + number) if self.keyed else None)
         client.close()
 
@@ -428,6 +436,17 @@
         self.record("discovery moves to %s%s" % (self.platform.address, ", silent" if down else ""))
         return old
 
+    def replace_endpoints(self, new):
+        """`new`: (id, destination, number from 1 of the endpoint at whose address it stands). Those that stood
+        there have gone: their connections are reset, as their processes have ended."""
+        for host, dest, of in new:
+            endpoint = self.endpoints[of - 1]
+            for writer in list(endpoint.connections):
+                writer.transport.abort()
+            endpoint.host, endpoint.dest = host, dest
+        for host, dest, of in new:
+            self.platform.set(self.endpoints[of - 1].entry())
+
     def node(self, name, config):
         node = Node(self, name, config)
         self.nodes.append(node)
@@ -448,14 +467,17 @@
     def lost(self, slack=1.0, not_before=0.0):
         """`not_before`: no notice is overdue before this instant."""
         bad = []
+        ended = {}  # by id: when it was delivered, and when a notice came
+        for call in self.calls:
+            if call["status"] == 200 and "answered" in call:
+                ended.setdefault(call["id"], []).append(call["answered"])
+        for notice in self.notices:
+            ended.setdefault(notice["id"], []).append(notice["at"])
         for message in self.messages.values():
             if not message["taken"]:
                 continue
             due = max(message["sent"] + message["d"] / 1000.0 + 0.35, not_before) + slack
-            delivered = [c for c in self.calls if c["id"] == message["id"] and c["status"] == 200 and
-                         c.get("answered", 1e18) <= due]
-            noticed = [n for n in self.notices if n["id"] == message["id"] and n["at"] <= due]
-            if not delivered and not noticed:
+            if not any(at <= due for at in ended.get(message["id"], [])):
                 bad.append("lost: %s, taken on, has neither been delivered nor ended by a notice %.2f s after "
                            "its time was up" % (message["id"], due - message["sent"] - message["d"] / 1000.0))
         return bad
