--- a/review/lib/world.py
+++ b/review/lib/world.py
@@ -183,7 +183,7 @@
                 request = await read_request(reader)
                 if request is None:
                     break
-                method, target, _, body, _ = request
+                method, target, headers, body, _ = request
                 if method == "POST":
                     for line in body.decode().splitlines():
                         notice = json.loads(line)
@@ -192,6 +192,8 @@
                         self.world.record("notice " + line)
                     writer.write(b"HTTP/1.1 204 No Content\r\n\r\n")
                     await writer.drain()
+                    if headers.get("connection", "").lower() == "close":
+                        break
                     continue
                 await self.served()
                 if "watch=1" not in target:
@@ -380,23 +382,31 @@
     """Messages of usual clients at a steady rate, each on a new connection, to the destinations in turn."""
 
     def __init__(self, world, node, deadline, per_second, destinations, cls="zone-notice", keyed=True,
-                 size=0):
+                 size=0, first=1):
         self.world, self.node, self.deadline, self.gap = world, node, deadline, 1.0 / per_second
         self.destinations, self.cls, self.keyed, self.size = destinations, cls, keyed, size
-        self.count, self.tasks, self.loop_task = 0, [], None
+        self.first = self.next = first
+        self.tasks, self.loop_task = [], None
 
     def start(self):
         self.loop_task = asyncio.ensure_future(self.run())
 
     async def run(self):
         while True:
-            self.count += 1
-            self.tasks.append(asyncio.ensure_future(self.one(self.count)))
+            self.tasks.append(asyncio.ensure_future(self.one(self.next)))
+            self.next += 1
             await asyncio.sleep(self.gap)
 
+    @staticmethod
+    def id(number):
+        return "%016x" % (0x9b1f03aa00000000 + number)
+
+    def ids(self):
+        return [self.id(number) for number in range(self.first, self.next)]
+
     async def one(self, number):
         client = Client(self.world, self.node.port)
-        await client.send("%016x" % (0x9b1f03aa00000000 + number), self.cls, number % self.destinations + 1,
+        await client.send(self.id(number), self.cls, number % self.destinations + 1,
                           self.deadline, (b"notice %d" % number).ljust(self.size, b"."),
                           key="%016x" % (0x5c0f6e1a00000000 + number) if self.keyed else None)
         client.close()
