Review: a script that is ended from outside ends its processes

Cause: a script that was stopped by a time limit left its nodes running. Change: SIGTERM, SIGINT and SIGHUP to a script end the processes that it started.

--- a/review/lib/world.py
+++ b/review/lib/world.py
@@ -522,6 +522,14 @@
     world = World(os.path.dirname(os.path.abspath(case)))
     result = 2
 
+    def interrupted(number, frame):
+        """Ended from outside: the processes that the case started end with it."""
+        world.clean()
+        os._exit(2)
+
+    for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
+        signal.signal(number, interrupted)
+
     async def run():
         await world.platform.start()
         return await asyncio.wait_for(main(world), 112)
