--- a/review/1/case.py
+++ b/review/1/case.py
@@ -66,4 +66,4 @@
     return world.summary(breaks)
 
 
-play(__file__, main)
+play(__file__, main, record="record.txt")
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -36,4 +36,4 @@
     return world.summary(world.lost() + world.foreign())
 
 
-play(__file__, main)
+play(__file__, main, record="record.txt")
--- a/review/4/case.py
+++ b/review/4/case.py
@@ -40,4 +40,4 @@
     return world.summary(world.lost())
 
 
-play(__file__, main)
+play(__file__, main, record="record.txt")
--- a/review/lib/world.py
+++ b/review/lib/world.py
@@ -420,9 +420,9 @@
 
 
 class World:
-    def __init__(self, folder):
+    def __init__(self, folder, record):
         self.case = folder
-        self.record = Record(os.path.join(folder, "record.txt"))
+        self.record = Record(os.path.join(folder, record))
         self.folder = tempfile.mkdtemp(prefix="review-")
         self.logs = os.environ.get("REVIEW_LOGS") or self.folder
         os.makedirs(self.logs, exist_ok=True)
@@ -517,9 +517,10 @@
         return [c for c in self.calls if c["id"] == id and c["ran"]]
 
 
-def play(case, main):
-    """Runs `main(world)`, which returns the list of the rule's breaks; exits with 0, 1 or 2."""
-    world = World(os.path.dirname(os.path.abspath(case)))
+def play(case, main, record):
+    """Runs `main(world)`, which returns the list of the rule's breaks; exits with 0, 1 or 2. `record` is the file
+    in the case's folder that takes what was sent, answered and run."""
+    world = World(os.path.dirname(os.path.abspath(case)), record)
     result = 2
 
     def interrupted(number, frame):
