--- a/review/lib-2/standins.py
+++ b/review/lib-2/standins.py
@@ -124,9 +124,10 @@
         message = headers.get("x-trace-id", "")
         self.calls.append((self.record.now(), message, len(body)))
         reply = self.behave(self, headers, body)
+        later = asyncio.iscoroutine(reply)
         self.record("call", endpoint=self.host, block=self.block, at=self.address, id=message, bytes=len(body),
-                    answer="none" if reply is None else reply[9:12].decode())
-        if asyncio.iscoroutine(reply):
+                    answer="later" if later else "none" if reply is None else reply[9:12].decode())
+        if later:
             reply = await reply
         if reply is None:
             await asyncio.sleep(3600)
@@ -145,6 +146,7 @@
         self.seq = 1
         self.refuse = False
         self.notices = {}  # id -> (time, state)
+        self.waits = {}    # id -> after_ms
         self.news = asyncio.Event()
 
     def set(self, *entries):
@@ -170,6 +172,8 @@
             for line in body.decode().splitlines():
                 notice = json.loads(line)
                 self.notices.setdefault(notice["id"], (self.record.now(), notice["state"]))
+                if "after_ms" in notice:
+                    self.waits.setdefault(notice["id"], notice["after_ms"])
                 self.record("notice", at=self.name, **notice)
             writer.write(answer(204))
             return await writer.drain()
