--- a/review/lib-2/standins.py
+++ b/review/lib-2/standins.py
@@ -113,7 +113,7 @@
         self.record, self.host, self.block = record, host, block
         self.behave = behave or (lambda *_: answer(200))
         self.calls = []  # (time, id, body length) of each call that came whole
-        self.first_bytes = []
+        self.answered = []  # (id, time) of each 200 that was written
 
     def entry(self, health="Ready"):
         return {"host": self.host, "dial": self.address, "site": "here", "class": "shop", "block": self.block,
@@ -132,6 +132,8 @@
         if reply is None:
             await asyncio.sleep(3600)
         writer.write(reply)
+        if reply[9:12] == b"200":
+            self.answered.append((message, self.record.now()))
         await writer.drain()
 
 
@@ -330,7 +332,8 @@
     async def connect(self):
         return await asyncio.open_connection("127.0.0.1", self.port)
 
-    async def hand_in(self, fields, destination, time_ms, body=b"hello", connection=None, key=True, prefix="m"):
+    async def hand_in(self, fields, destination, time_ms, body=b"hello", connection=None, key=True, prefix="m",
+                      order="0" * 16):
         self.count += 1
         message = f"{prefix}{self.count:06d}"
         text = f"{fields},d={time_ms},dest={destination}" + (f",k={message}" if key else "")
@@ -343,13 +346,13 @@
             return message, None
         line = b""
         try:
-            writer.write(command("ENQUEUE", "0" * 16, message, text, body))
+            writer.write(command("ENQUEUE", order, message, text, body))
             line = await asyncio.wait_for(reader.readline(), 0.4)
         except (OSError, asyncio.TimeoutError):
             pass
         if own:
             writer.close()
-        self.record("client", id=message, dest=destination, d=time_ms, bytes=len(body),
+        self.record("client", id=message, key=order.lstrip("0") or "none", dest=destination, d=time_ms, bytes=len(body),
                     answer=line.decode().strip() or "none")
         if line.startswith(b"+") or line.startswith(b"$"):
             self.taken[message] = (at, self.record.now(), time_ms / 1000, destination)
