--- a/review/8/case.py
+++ b/review/8/case.py
@@ -1,38 +1,17 @@
-"""A partner dies with calls that it has run and not answered, and refuses connections for 17 s. What the node returns
-is handed in again by its client, inside the window in which the partner remembers the key."""
+"""A process is replaced while messages of a class in order come: two of each key, one after the other, on connections of
+their own."""
 
 import asyncio
 import os
+import signal
 import sys
 
 FOLDER = os.path.dirname(os.path.abspath(__file__))
 sys.path.insert(0, os.path.join(os.path.dirname(FOLDER), "lib-2"))
 from standins import TROUBLE, CannotRun, Clients, Endpoint, Node, Platform, answer, keyed_class, main, settings  # noqa: E402
 
-WINDOW = 15.0      # a partner drops a repeat of a key for so long
-DEADLINE = 28.0
-OUTAGE = 17.0
-TRIES_AGAIN = 3    # of a client, after a refusal
-MESSAGES = 6
-CLUMP = 24
-
-
-class Partner(Endpoint):
-    """Runs a call once it has come whole, unless it has run one with that key less than WINDOW ago."""
-
-    def __init__(self, record, host, block):
-        super().__init__(record, host, block, self.run_call)
-        self.first_run = {}  # by key
-        self.effects = {}    # times, by key
-
-    def run_call(self, _endpoint, headers, _body):
-        key, now = headers["idempotency-key"], self.record.now()
-        dropped = key in self.first_run and now - self.first_run[key] < WINDOW
-        if not dropped:
-            self.first_run[key] = now
-            self.effects.setdefault(key, []).append(now)
-            self.record("effect", key=key, id=headers["x-trace-id"], number=len(self.effects[key]))
-        return after(0.2)  # 200 to 340 ms at a partner of usual pace
+KEYS = 80
+TIME_MS = 16000
 
 
 async def after(seconds):
@@ -42,70 +21,61 @@
 
 async def case(record):
     platform = await Platform(record).open()
-    partner = await Partner(record, "s-1", 7).open()
-    busy = await Endpoint(record, "s-2", 8, lambda *_: after(0.3)).open()
-    platform.set(partner.entry(), busy.entry())
-    small = settings(classes=[keyed_class("container-event", DEADLINE * 1000, 4000.0, WINDOW * 1000)])
-    small["caps"].update(attemptsCap=6, maxRetryAfter=3000.0, maxOpen=16)
-    node = Node(record, "n0", small, platform.address)
-    await node.start("only")
+    endpoint = await Endpoint(record, "s-1", 7, lambda *_: after(0.1)).open()  # 84 to 140 ms at usual pace
+    platform.set(endpoint.entry())
+    booking = dict(keyed_class("booking", TIME_MS, 3000.0, 4000.0), sequential=True)
+    ordered = settings(classes=[booking])
+    ordered["guarantees"]["turnGap"] = 100.0
+    node = Node(record, "n0", ordered, platform.address)
+    old = await node.start("old")
     clients = Clients(record, node.port)
-    tries = 0
+    taken = []  # pairs (first, second) of ids, by key
 
-    async def client(number):
-        """Hands one message in, and again when it is returned, as long as its window is open."""
-        nonlocal tries
-        born, key = record.now(), f"k{number:015d}"
-        for attempt in range(1 + TRIES_AGAIN):
-            left = int((born + DEADLINE - record.now()) * 1000)
-            mark = ",r=1" if attempt > 0 else ""
-            message, line = await clients.hand_in(f"c=container-event,t=acme,k={key}{mark}", 7, left, key=False)
-            wait = 1.0
-            if line is not None and line.startswith(b"-BUSY"):
-                words = line.split()
-                wait = int(words[1]) / 1000 if len(words) > 1 else 1.0
-            else:
-                while message not in platform.notices and record.now() < born + DEADLINE + 1:
-                    await asyncio.sleep(0.01)
-                if platform.notices.get(message, (0, ""))[1] != "returned":
-                    return
-                wait = platform.waits.get(message, 1000) / 1000
-            await asyncio.sleep(wait)
-            if record.now() >= born + WINDOW:  # a message that may have taken effect comes only inside its window
+    async def household(number):
+        """Hands two messages of one key in, the second once the first is taken on."""
+        key, pair = f"{0xb00c0000 + number:016x}", []
+        for step in ("book", "move"):
+            message, line = await clients.hand_in("c=booking,t=acme", 7, TIME_MS, step.encode(), order=key)
+            if line is None or not line.startswith(b"+"):
                 return
-            tries += 1
+            pair.append(message)
+            await asyncio.sleep(0.01)
+        taken.append((key, *pair))
 
     try:
-        # The partner is known and healthy: five messages come and are served.
-        for number in range(5):
-            await clients.hand_in(f"c=container-event,t=acme,k=w{number:015d}", 7, 28000, key=False)
-            await asyncio.sleep(0.3)
-        tasks = [asyncio.create_task(client(number)) for number in range(MESSAGES)]
-        await asyncio.sleep(0.1)
-        out = len([key for key in partner.effects if key.startswith("k")])
-        if out == 0:
-            raise CannotRun("no call was out")
+        for number in range(KEYS // 4):
+            await household(number)
+            await asyncio.sleep(0.05)
         if TROUBLE:
-            partner.close()  # its process dies: connections are reset, new ones are refused
-            record("partner.died", calls_out=out)
-        await asyncio.sleep(7)
-        # A clump of messages for another partner, which takes them within 1.3 s. The node's room is full with it.
-        await asyncio.gather(*(clients.hand_in("c=container-event,t=acme", 8, 28000, prefix="c") for _ in range(CLUMP)))
+            await node.start("new")
+        for number in range(KEYS // 4, KEYS):
+            await household(number)
+            await asyncio.sleep(0.05)
         if TROUBLE:
-            await asyncio.sleep(OUTAGE - 7)
-            await partner.open()
-            record("partner.back")
-        await asyncio.wait(tasks, timeout=DEADLINE + 3)
-        for task in tasks:
-            task.cancel()
-        await asyncio.sleep(0.2)
-        twice = {key: times for key, times in partner.effects.items() if len(times) > 1}
-        for key, times in twice.items():
-            record("twice", key=key, times=",".join(f"{at:.2f}" for at in times))
-        if len(partner.effects) < 5 + out:
-            raise CannotRun("the partner lost effects")
-        return bool(twice), (f"{len(twice)} of {out} messages whose calls were out took effect twice "
-                             f"({tries} were handed in again inside their window)")
+            node.signal(old, signal.SIGTERM, "old")
+            if await node.wait_end(old, "old", 3.7) != 0:
+                raise CannotRun("the old process did not end as told")
+        for _ in range(150):
+            await asyncio.sleep(0.1)
+            if len(endpoint.calls) >= 2 * KEYS:
+                break
+        if len(taken) < KEYS / 2:
+            raise CannotRun("too few messages were taken on")
+        begun = {}
+        for at, message, _ in endpoint.calls:
+            begun.setdefault(message, at)
+        wrong = []
+        for key, first, second in taken:
+            ends = [at for message, at in endpoint.answered if message == first]
+            if first in platform.notices:
+                ends.append(platform.notices[first][0])
+            ended = min(ends, default=float("inf"))
+            if second in begun and begun[second] < ended:
+                wrong.append(key)
+                record("out_of_order", key=key, first=first, second=second, second_begun=f"{begun[second]:.3f}",
+                       first_ended="never" if ended == float("inf") else f"{ended:.3f}")
+        return bool(wrong), (f"of {len(taken)} keys {len(wrong)} had their second message sent before the first one was "
+                             f"over")
     finally:
         await node.clean_up()
 
