--- a/review/9/case.py
+++ b/review/9/case.py
@@ -35,7 +35,9 @@
     async def serve_one(self, reader, writer):
         _, _, headers, body = await read_request(reader)
         self.calls.append((self.record.now(), headers["x-trace-id"], len(body)))
-        if TROUBLE and self.random.random() < SPOILT:
+        spoil = TROUBLE and self.random.random() < SPOILT
+        self.record("call", endpoint=self.host, id=headers["x-trace-id"], answer="endless head" if spoil else 200)
+        if spoil:
             Spoiling.spoilt += 1
             writer.write(HEAD)  # the call has run; the head never ends, the connection stays open
             await writer.drain()
