Replacement: only one process serves, so order and disk are one count

Cause: both processes accepted messages. A limit halved for each can't make the sum hold, as the old process may hold the whole already; and putting its messages first at the take-over is not the order in which they were accepted.

Both listen; a program at the sockets gives new connections to the first listener, from the switch on to the second. The old process serves until its last call has ended, 2.6 s behind SIGTERM at the latest, lets its clients go and ends within 0.2 s; who connects meanwhile waits in the successor's queue.

Tests that asked the successor beside its predecessor, at an address of its own, ask at the one address that both have.

--- a/src/base/log_events.h
+++ b/src/base/log_events.h
@@ -156,14 +156,13 @@
 inline constexpr Event<kText> kJournalShared{
     "journal.shared",
     kInfo,
-    "Another process uses the state folder; this one keeps its own journal until that process ends.",
+    "Another process serves from the state folder; this one accepts no client until that process ends.",
     {{{"folder", "path of the state folder"}}}};
-inline constexpr Event<kMillis, kCount> kStandbyLimit{
-    "journal.standby",
-    kWarn,
-    "The previous process has not been stopped; until it ends, this one accepts no message and begins no "
-    "call.",
-    {{{"after", "how long this process has waited"}, {"open", "messages held, which wait for that end"}}}};
+inline constexpr Event<kMillis> kStandbyLimit{"journal.standby",
+                                              kWarn,
+                                              "The previous process has not been stopped; until it ends, "
+                                              "this one accepts no client and begins no call.",
+                                              {{{"after", "how long this process has waited"}}}};
 inline constexpr Event<kBytes> kJournalTakenOver{
     "journal.taken_over",
     kInfo,
--- a/src/brain/lifecycle.cpp
+++ b/src/brain/lifecycle.cpp
@@ -23,9 +23,17 @@
     /* ended         */ {kNo, kNo, kNo, kNo, kNo, kNo, kNo, kNo, kNo, kNo, kNo, kNo},
 }};
 
-// Actions that are forbidden in every phase while another process owns the calls.
+// Actions that are forbidden in every phase while another process owns the folder.
 constexpr bool NeedsOwnership(Action action) {
-  return action == Action::kBeginFirstCall || action == Action::kRepeatCall;
+  switch (action) {
+    case Action::kAcceptClient:
+    case Action::kReadCommand:
+    case Action::kAcceptMessage:
+    case Action::kBeginFirstCall:
+    case Action::kRepeatCall:
+    case Action::kSendNotice: return true;
+    default: return false;
+  }
 }
 
 }  // namespace
@@ -60,7 +68,6 @@
 
 bool Lifecycle::Allows(Action action) const {
   if (standby_ && NeedsOwnership(action)) return false;
-  if (standby_ && !standby_intake_ && action == Action::kAcceptMessage) return false;
   return kAllowed[static_cast<std::size_t>(phase_)][static_cast<std::size_t>(action)];
 }
 
@@ -108,6 +115,8 @@
   signalled_at_ = std::min(signalled_at, now);
   disconnect_at_ = signalled_at_ + kDisconnectAfter;
   reject_at_ = signalled_at_ + kRejectAfter;
+  close_at_ = signalled_at_ + kCloseAfter;
+  end_at_ = signalled_at_ + kEndAfter;
   calls_end_by_ = signalled_at_ + kEndAfter;
   Enter(Phase::kDraining, PhaseCause::kRequested, now);
   Advance(now);
@@ -115,18 +124,31 @@
 
 void Lifecycle::HandOver(Micros now) {
   if (!stopping() || std::exchange(handing_over_, true)) return;
-  disconnect_at_ = std::min(disconnect_at_, now);
-  reject_at_ = std::min(reject_at_, now + kHandOverIntake);
-  calls_end_by_ = std::min(calls_end_by_, now + kHandOverIntake);
-  if (phase_ == Phase::kDraining) Enter(Phase::kDisconnecting, PhaseCause::kSuccessorServes, now);
+  calls_end_by_ = std::min(calls_end_by_, now + kHandOverDrain);
+  if (phase_ != Phase::kDraining) BeginSwitch(now);
+}
+
+void Lifecycle::CallsDone(Micros now) {
+  if (!handing_over_ || phase_ != Phase::kDraining || now < calls_end_by_) return;
+  BeginSwitch(now);
+  Enter(Phase::kDisconnecting, PhaseCause::kSuccessorServes, now);
+}
+
+void Lifecycle::BeginSwitch(Micros now) {
+  if (!handing_over_ || std::exchange(switch_begun_, true)) return;
+  reject_at_ = std::min(reject_at_, now + kSwitchRejectAfter);
+  close_at_ = std::min(close_at_, now + kSwitchCloseAfter);
+  end_at_ = std::min(end_at_, now + kSwitchEndAfter);
 }
 
 void Lifecycle::Advance(Micros now) {
   const bool intake = phase_ == Phase::kDraining || phase_ == Phase::kDisconnecting;
   if (intake && now >= reject_at_) {
     calls_end_by_ = std::min(calls_end_by_, now);
+    BeginSwitch(now);
     Enter(Phase::kRejecting, PhaseCause::kTimeReached, now);
   } else if (phase_ == Phase::kDraining && now >= disconnect_at_) {
+    BeginSwitch(now);
     Enter(Phase::kDisconnecting, PhaseCause::kTimeReached, now);
   }
 }
--- a/src/brain/lifecycle.h
+++ b/src/brain/lifecycle.h
@@ -92,13 +92,25 @@
   static constexpr Micros kCloseAfter = std::chrono::milliseconds(3050);
   // The process ends, whatever is still in flight.
   static constexpr Micros kEndAfter = std::chrono::milliseconds(3200);
-  // With a successor running, the old process accepts messages for this long, and begins only calls that
-  // should end within it.
-  static constexpr Micros kHandOverIntake = std::chrono::seconds(1);
-  // A successor begins no call until the previous process has ended, which is killed 3.7 s after the
-  // successor is ready. If nobody stops the previous process, the successor accepts no message after this: it
-  // may not deliver, as one of the two could repeat what the other has sent.
-  static constexpr Micros kStandbyLimit = std::chrono::seconds(10);
+
+  // Hand-over to a successor, which accepts clients only once this process has ended. Until the switch of
+  // intake this process serves as before. The switch comes once its calls have ended, at kDisconnectAfter at
+  // the latest.
+  //
+  // The process begins only calls that should end within this time.
+  static constexpr Micros kHandOverDrain = std::chrono::seconds(1);
+  // Counted from the switch. Meanwhile new clients wait in the successor's queue, and they wait for a reply
+  // for 400 ms at most.
+  //
+  // Clients that are within a command are rejected.
+  static constexpr Micros kSwitchRejectAfter = std::chrono::milliseconds(80);
+  // Clients that are still connected are closed.
+  static constexpr Micros kSwitchCloseAfter = std::chrono::milliseconds(120);
+  // The process ends.
+  static constexpr Micros kSwitchEndAfter = std::chrono::milliseconds(200);
+  // A successor reports a previous process that nobody has stopped by then. Usually it is killed 3.7 s after
+  // the successor is ready.
+  static constexpr Micros kStandbyWarningAfter = std::chrono::seconds(10);
 
   // Called after each transition.
   using Observer = std::function<void(const PhaseChange&)>;
@@ -107,7 +119,7 @@
   Lifecycle(Micros now, Observer observer, OnViolation on_violation);
 
   Phase phase() const { return phase_; }
-  // Another process still owns the calls: this one begins none.
+  // Another process still owns the folder: this one serves no client and begins no call.
   bool standby() const { return standby_; }
   // A shutdown has been requested.
   bool stopping() const { return phase_ >= Phase::kDraining; }
@@ -125,14 +137,15 @@
   void Quiesce(Micros now);
   // From kQuiesced back to kServing.
   void Resume(Micros now);
-  // Set while another process still serves from the same folder: this one begins no call until it is unset.
-  void SetStandby(bool standby) { standby_ = standby, standby_intake_ = true; }
-  // The standby has lasted for kStandbyLimit: until it ends, no message is accepted.
-  void EndStandbyIntake() { standby_intake_ = false; }
+  // Set while another process still serves from the same folder: this one serves no client and begins no call
+  // until it is unset.
+  void SetStandby(bool standby) { standby_ = standby; }
   // Starts the shutdown, which was requested at `signalled_at`. Later requests are ignored.
   void Stop(Micros signalled_at, Micros now);
-  // A successor serves while this process stops, whichever of the two came first. Shortens intake.
+  // A successor waits while this process stops, whichever of the two came first.
   void HandOver(Micros now);
+  // No call is in flight. Enters kDisconnecting if a successor waits and none begins any more.
+  void CallsDone(Micros now);
   // Makes the transitions that are due by time, up to the end of intake.
   void Advance(Micros now);
   // No client is left. Enters kClosing if intake is over or a successor has it.
@@ -142,8 +155,8 @@
 
   // The remaining clients must be closed, or the process must end, as the time is over. The caller first
   // reads what had arrived by then.
-  bool MustClose(Micros now) const { return stopping() && now >= signalled_at_ + kCloseAfter; }
-  bool MustEnd(Micros now) const { return stopping() && now >= signalled_at_ + kEndAfter; }
+  bool MustClose(Micros now) const { return stopping() && now >= close_at_; }
+  bool MustEnd(Micros now) const { return stopping() && now >= end_at_; }
   // When calls that begin now should have ended; Micros::max() where nothing bounds them.
   Micros CallsEndBy(Micros now) const { return standby_ ? now : calls_end_by_; }
 
@@ -153,21 +166,25 @@
   std::uint64_t violations() const { return violations_; }
 
  private:
-  // Whether the table and the ownership of calls allow the action in the current phase.
+  // Whether the table and the ownership of the folder allow the action in the current phase.
   bool Allows(Action action) const;
   // Makes the transition, resets the phase's counts and calls the observer.
   void Enter(Phase phase, PhaseCause cause, Micros now);
+  // Intake passes to a successor from now on: shortens what is left of the shutdown.
+  void BeginSwitch(Micros now);
 
   Observer observer_;
   OnViolation on_violation_;
   Phase phase_ = Phase::kStarting;
   bool standby_ = false;
-  bool standby_intake_ = true;  // accepts messages in standby
   bool handing_over_ = false;
+  bool switch_begun_ = false;
   Micros entered_at_;  // when phase_ was entered
   Micros signalled_at_{0};
   Micros disconnect_at_{Micros::max()};
   Micros reject_at_{Micros::max()};
+  Micros close_at_{Micros::max()};
+  Micros end_at_{Micros::max()};
   Micros calls_end_by_{Micros::max()};
   ActionCounts done_{};        // in this phase
   ActionCounts denied_{};      // in this phase
--- a/src/net/listen_socket.cpp
+++ b/src/net/listen_socket.cpp
@@ -21,8 +21,8 @@
   if (descriptor < 0) return uv_translate_sys_error(errno);
   const socklen_t size = socket_address.ss_family == AF_INET6 ? sizeof(sockaddr_in6) : sizeof(sockaddr_in);
   const int enabled = 1;
-  // A process that replaces this one listens on the same address while this one still serves; the kernel then
-  // distributes new connections to both. Both sockets must have SO_REUSEPORT, so every listener sets it.
+  // A process that replaces this one listens on the same address while this one still serves. Both sockets
+  // must have SO_REUSEPORT, so every listener sets it.
   const bool listens = setsockopt(descriptor, SOL_SOCKET, SO_REUSEADDR, &enabled, sizeof enabled) == 0 &&
                        setsockopt(descriptor, SOL_SOCKET, SO_REUSEPORT, &enabled, sizeof enabled) == 0 &&
                        bind(descriptor, reinterpret_cast<const sockaddr*>(&socket_address), size) == 0 &&
@@ -38,10 +38,19 @@
   }
   poll_ = poll.release();
   descriptor_ = descriptor;
+  directs_connections_ = DirectConnectionsTo(Receiver::kFirstListener);
   Resume();
   return 0;
 }
 
+// The program returns an index into the sockets that listen on the address, in the order in which they began
+// to listen. Where there is no socket with that index, the system chooses one itself.
+bool ListenSocket::DirectConnectionsTo(Receiver receiver) {
+  sock_filter return_index{BPF_RET | BPF_K, 0, 0, static_cast<std::uint32_t>(receiver)};
+  const sock_fprog program{1, &return_index};
+  return setsockopt(descriptor_, SOL_SOCKET, SO_ATTACH_REUSEPORT_CBPF, &program, sizeof program) == 0;
+}
+
 std::string ListenSocket::address() const { return BoundAddress(descriptor_); }
 
 int ListenSocket::Accept() {
--- a/src/net/listen_socket.h
+++ b/src/net/listen_socket.h
@@ -5,6 +5,7 @@
 
 #include <uv.h>
 
+#include <cstdint>
 #include <functional>
 #include <string>
 
@@ -22,12 +23,20 @@
   ListenSocket& operator=(const ListenSocket&) = delete;
 
   // Listens on "ip:port". Returns 0, or a negative libuv error code. Other processes may listen on the same
-  // address.
+  // address; the first of them gets all connections.
   int Listen(const std::string& address, int backlog);
   bool open() const { return poll_ != nullptr; }
   // The address that it listens on; empty while closed.
   std::string address() const;
 
+  // Which of the processes that listen on the address gets the connections that come from now on.
+  enum class Receiver : std::uint8_t { kFirstListener, kSecondListener };
+  // Sets the receiver for all of them, and where there is only one, it gets them all. Otherwise the system
+  // distributes connections over all of them. Returns false if the system can't do this.
+  bool DirectConnectionsTo(Receiver receiver);
+  // Whether Listen directed connections to the first listener.
+  bool directs_connections() const { return directs_connections_; }
+
   // Accepts the next pending connection and returns its descriptor, which the caller owns. UV_EAGAIN: none is
   // pending. Otherwise a negative libuv error code.
   int Accept();
@@ -50,6 +59,7 @@
   std::function<void()> on_pending_;
   Poll* poll_ = nullptr;  // closed and freed by the loop
   int descriptor_ = -1;
+  bool directs_connections_ = false;
 };
 
 }  // namespace indigosaddle::net
--- a/src/net/resp_connection_close.cpp
+++ b/src/net/resp_connection_close.cpp
@@ -7,6 +7,21 @@
 
 namespace indigosaddle::net {
 
+std::string_view NameOf(ClientCloseReason reason) {
+  switch (reason) {
+    case ClientCloseReason::kClientClosed: return "left";
+    case ClientCloseReason::kConnectionBroken: return "broke";
+    case ClientCloseReason::kNoCommand: return "silent";
+    case ClientCloseReason::kIdle: return "quiet";
+    case ClientCloseReason::kRepliesUnread: return "untaken";
+    case ClientCloseReason::kErrorReply: return "turned-away";
+    case ClientCloseReason::kEvicted: return "gave-way";
+    case ClientCloseReason::kStopping: return "stopping";
+    case ClientCloseReason::kRejected: return "refused";
+  }
+  return "?";
+}
+
 void RespServer::Connection::Detach() {
   detached_ = true;
   stream_.StopReading();
--- a/src/net/resp_server.cpp
+++ b/src/net/resp_server.cpp
@@ -19,21 +19,6 @@
 
 }  // namespace
 
-std::string_view NameOf(ClientCloseReason reason) {
-  switch (reason) {
-    case ClientCloseReason::kClientClosed: return "left";
-    case ClientCloseReason::kConnectionBroken: return "broke";
-    case ClientCloseReason::kNoCommand: return "silent";
-    case ClientCloseReason::kIdle: return "quiet";
-    case ClientCloseReason::kRepliesUnread: return "untaken";
-    case ClientCloseReason::kErrorReply: return "turned-away";
-    case ClientCloseReason::kEvicted: return "gave-way";
-    case ClientCloseReason::kStopping: return "stopping";
-    case ClientCloseReason::kRejected: return "refused";
-  }
-  return "?";
-}
-
 RespServer::RespServer(Loop& loop, Handler& handler, Limits limits)
     : loop_(loop),
       handler_(handler),
@@ -51,6 +36,24 @@
 
 int RespServer::Listen(const std::string& address) { return listener_.Listen(address, kBacklog); }
 
+void RespServer::PauseAccepting() {
+  accept_paused_ = true;
+  listener_.Pause();
+}
+
+// If this process was the second to listen, it is the first one now.
+void RespServer::ResumeAccepting() {
+  accept_paused_ = false;
+  if (!listener_.open()) return;
+  listener_.DirectConnectionsTo(ListenSocket::Receiver::kFirstListener);
+  AcceptPending();
+}
+
+bool RespServer::HandOverListening() {
+  if (listener_.open()) listener_.DirectConnectionsTo(ListenSocket::Receiver::kSecondListener);
+  return StopListening();
+}
+
 bool RespServer::StopListening() {
   if (!listener_.open()) return true;
   listener_.RefuseNew();
@@ -66,6 +69,7 @@
 // If all slots are in use, a client is evicted only for the first one that is pending. Whether there are
 // others is not known here; if so, the loop reports them.
 void RespServer::AcceptPending() {
+  if (accept_paused_) return;
   accept_postponed_ = false;
   listener_.Resume();
   for (int accepted = 0; accepted < kMaxAcceptsPerPass; ++accepted) {
--- a/src/net/resp_server.h
+++ b/src/net/resp_server.h
@@ -72,6 +72,15 @@
   // Listens on "ip:port". Returns 0, or a negative libuv error code.
   int Listen(const std::string& address);
   std::string address() const { return listener_.address(); }
+  // Whether this process, where it is the first to listen on the address, gets all connections.
+  bool directs_connections() const { return listener_.directs_connections(); }
+  bool listening() const { return listener_.open(); }
+  // While paused, new clients wait in the system's queue.
+  void PauseAccepting();
+  void ResumeAccepting();
+  // From now on the process that was the second to listen on the address gets the new clients; then the same
+  // as StopListening.
+  bool HandOverListening();
   // Stops listening. Clients that connected before this call are still served. Returns false if some of them
   // can't be accepted yet: the call must then be repeated.
   bool StopListening();
@@ -118,6 +127,7 @@
   Limits limits_;
   ClientMemory memory_;
   ListenSocket listener_;
+  bool accept_paused_ = false;
   bool accept_postponed_ = false;  // clients may be pending that could not be accepted
   bool ready_ = true, disconnecting_ = false;
   std::uint64_t last_connection_ = 0, last_resumed_ = 0;
--- a/src/node/journal_file.cpp
+++ b/src/node/journal_file.cpp
@@ -20,10 +20,9 @@
 
 JournalFile::JournalFile(std::string folder)
     : folder_(std::move(folder)),
-      owner_path_(folder_ + "/journal"),
-      next_path_(folder_ + "/journal.next"),
-      path_(owner_path_),
-      new_path_(owner_path_ + ".new") {}
+      path_(folder_ + "/journal"),
+      new_path_(path_ + ".new"),
+      next_path_(folder_ + "/journal.next") {}
 
 JournalFile::~JournalFile() {
   Close();
@@ -39,20 +38,13 @@
   return -1;
 }
 
-void JournalFile::SetPath(const std::string& path) {
-  Close();
-  path_ = path;
-  new_path_ = path + ".new";
-}
-
 JournalFile::Role JournalFile::Claim() {
   if (owner_lock_ >= 0) return Role::kOwner;
   owner_lock_ = TryLock("journal.lock");
-  const bool was_successor = next_lock_ >= 0;
-  if (!was_successor) next_lock_ = TryLock("journal.next.lock");
+  if (next_lock_ < 0) next_lock_ = TryLock("journal.next.lock");
   if (owner_lock_ >= 0) return Role::kOwner;
   if (next_lock_ < 0) return Role::kNone;
-  if (!was_successor) SetPath(next_path_);
+  may_write_ = false;
   return Role::kSuccessor;
 }
 
@@ -75,14 +67,11 @@
     return false;
   }
   const bool successor = owner_lock_ < 0 && next_lock_ >= 0;
-  if (!successor && unlink((owner_path_ + ".new").c_str()) == 0) {
+  if (!successor && unlink(new_path_.c_str()) == 0) {
     error = "an unfinished rewrite was removed; the journal before it is used";
   }
-  if (!ReadFile(owner_path_, max_bytes, bytes, error)) return false;
-  // After a take-over, the next write is a rewrite of all pending messages into the owner's file. Until then
-  // this process's own file stays, as it holds pending messages. It is still appended to until the owner's
-  // file has been read.
-  if (owner_lock_ >= 0 && path_ != owner_path_) SetPath(owner_path_);
+  if (!ReadFile(path_, max_bytes, bytes, error)) return false;
+  if (!successor) may_write_ = true;
   return true;
 }
 
@@ -134,6 +123,7 @@
 }
 
 bool JournalFile::Rewrite(std::string_view bytes) {
+  if (!may_write_) return false;
   const int file = open(new_path_.c_str(), O_WRONLY | O_CREAT | O_TRUNC | O_APPEND | O_CLOEXEC, 0600);
   if (file < 0) return false;
   if (!WriteAll(file, bytes) || rename(new_path_.c_str(), path_.c_str()) != 0) {
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -41,7 +41,7 @@
           loop, {config_.connect_timeout, config_.settings.idle_close, MaxCallConnections(config_)},
           [this](std::uint64_t serial) { return PermitCallStart(serial); },
           [this](const net::CallResult& result) { OnCallEnded(result); }),
-      server_(loop, *this, ServerLimits(config_, false)),
+      server_(loop, *this, ServerLimits(config_)),
       discovery_(MakeDiscovery(*this)),
       notices_(loop, *this, config_.discovery),
       control_(std::in_place, loop, static_cast<net::ControlServer::Handler&>(*this)),
@@ -55,7 +55,7 @@
       ownership_timer_(loop, [this] { CheckFolderOwnership(); }),
       disconnect_idle_timer_(loop, [this] { DisconnectIdleClients(); }),
       switch_discovery_timer_(loop, [this] { SwitchDiscovery(); }),
-      standby_timer_(loop, [this] { EndStandbyIntake(); }) {
+      standby_timer_(loop, [this] { WarnOfLongStandby(); }) {
   discovery_address_ = config_.discovery;
   pool_.Observe(*this);
   uv_prepare_init(loop.raw(), &prepare_);
@@ -85,9 +85,7 @@
     return false;
   }
   state::Recovered recovered;
-  if (!ReadJournals(role, recovered)) return false;
-  if (role == JournalFile::Role::kSuccessor) EnterStandby();
-  SaveRules();
+  if (!(role == JournalFile::Role::kSuccessor ? EnterStandby() : Recover(recovered))) return false;
   ScheduleOwnershipCheck();
   std::optional<std::uint64_t> known_version;
   if (!config_.known_list.empty()) {
@@ -99,9 +97,9 @@
       log_.Write(base::kConfiguredListUnreadable, "known");
     }
   }
-  Push(std::move(recovered));
+  if (!is_successor_) Push(std::move(recovered));
   RunTurn();
-  if (const int error = server_.Listen(config_.listen); error != 0) {
+  if (const int error = ListenForClients(); error != 0) {
     log_.Write(base::kListenFailed, config_.listen, uv_strerror(error));
     return false;
   }
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -21,6 +21,7 @@
 #include "net/loop.h"
 #include "net/notices.h"
 #include "net/resp_server.h"
+#include "node/class_counts.h"
 #include "node/config.h"
 #include "node/config_changes.h"
 #include "node/fleet_link.h"
@@ -96,21 +97,23 @@
   void Quiesce();
   void ResumeWork();
   void DisconnectIdleClients();
-  // False if it can't; the log has the reason.
-  bool ReadJournals(JournalFile::Role role, state::Recovered& recovered);
-  void EnterStandby();
+  // Where one of these can't read a journal, the log has the reason.
+  using JournalReader = bool (JournalFile::*)(std::size_t max_bytes, std::string& bytes, std::string& error);
+  std::optional<std::size_t> ReadJournal(JournalReader read, state::Recovered& recovered);
+  std::optional<std::size_t> ReadJournals(state::Recovered& recovered);
+  bool Recover(state::Recovered& recovered);
+  void StartRules(bool folder_used);
+  bool EnterStandby();
+  int ListenForClients();  // 0, or a negative libuv error code
   void ScheduleOwnershipCheck();
   void CheckFolderOwnership();
-  void EndStandbyIntake();
+  void TakeOver();
+  void WarnOfLongStandby();
   void LeaveStandby();
-  void ShareResources(bool shared);
   std::unique_ptr<net::DiscoveryClient> MakeDiscovery(net::DiscoveryClient::Handler& handler);
   void ChangeDiscoveryAddress();
   void SwitchDiscovery();
   const char* StateName() const;
-  struct ClassCounts {  // messages of one class
-    std::uint64_t completed = 0, rejected = 0, failed = 0;
-  };
   std::map<std::string, ClassCounts> CountsByClass() const;
   std::string Metrics() const;
   std::uint64_t WatchLosses() const;
@@ -163,6 +166,7 @@
   void PushCallDeadline();
   void HandOver();
   void AdvanceShutdown();
+  bool StopListening();
   void DisconnectClients();
   void RejectClients();
   void FinishIfDrained();
@@ -225,9 +229,7 @@
   int senders_in_force_ = 0;                       // the number that the engine has
   RepeatedEvent watch_losses_, new_watch_losses_;  // at discovery's present and at its new address
   bool turn_due_ = false, journal_failed_ = false, may_accept_messages_ = false;
-  // `is_successor_`: the predecessor still owns the folder. `resources_shared_`: another process uses the
-  // folder too, so each has half of the journal's quota and of the clients' memory.
-  bool is_successor_ = false, resources_shared_ = false;
+  bool is_successor_ = false;  // the predecessor still owns the folder
   // When the present and the previous iteration of the loop began. A signal that is handled now arrived after
   // the previous one had begun.
   Micros iteration_began_at_{0}, previous_iteration_began_at_{0};
--- a/src/node/node_metrics.cpp
+++ b/src/node/node_metrics.cpp
@@ -23,7 +23,7 @@
 }  // namespace
 
 // Returns the counts of all configured classes, and of those that a configuration change has removed.
-std::map<std::string, Node::ClassCounts> Node::CountsByClass() const {
+std::map<std::string, ClassCounts> Node::CountsByClass() const {
   std::map<std::string, ClassCounts> classes = counts_by_class_;
   for (const auto& [name, number] : config_.classes) classes.try_emplace(name);
   return classes;
@@ -105,7 +105,7 @@
        {{"recovering", brain_->slow_start().recovering}, {"calls", brain_->slow_start().calls}}},
       {"journal",
        {{"bytes", state_.journal_size},
-        {"room", JournalQuotaBytes(config_, resources_shared_)},
+        {"room", JournalQuotaBytes(config_)},
         {"writable", !journal_failed_}}},
       {"log",
        {{"lines", log_.written()}, {"dropped", log_.dropped()}, {"waiting_bytes", log_.waiting_bytes()}}}};
--- a/src/node/node_operations.cpp
+++ b/src/node/node_operations.cpp
@@ -45,7 +45,7 @@
   config_ = WithinDescriptors(std::move(next), config_.sockets);
   rules_.Change(config_, loop_.Now());
   SaveRules();
-  server_.SetLimits(ServerLimits(config_, resources_shared_));
+  server_.SetLimits(ServerLimits(config_));
   log_.Configure(config_.log);
   if (config_.discovery != old_address) {
     log_.Write(base::kDiscoveryAddressChanged, old_address, config_.discovery);
@@ -171,6 +171,7 @@
 
 const char* Node::StateName() const {
   if (lifecycle_.stopping()) return "stopping";
+  if (lifecycle_.standby()) return "standby";
   return lifecycle_.phase() == Phase::kQuiesced ? "quiesced" : "ready";
 }
 
--- a/src/node/node_stop.cpp
+++ b/src/node/node_stop.cpp
@@ -59,12 +59,14 @@
   AdvanceShutdown();
 }
 
-// With a successor running, this process ends early: the successor already listens, and waits for the
-// messages held here.
+// A successor waits for this process to end. Until its calls have ended, this process serves as before: all
+// commands and calls are those of one process at a time.
 void Node::HandOver() {
   if (lifecycle_.handing_over()) return;
   state_.rewrite_due = true;  // a short journal is taken over fastest and leaves the most room
   lifecycle_.HandOver(loop_.Now());
+  // A front goes on to send clients: between them, the two processes serve all the time.
+  if (lifecycle_.phase() == Phase::kDraining) server_.SetReady(true);
   PushCallDeadline();
 }
 
@@ -74,20 +76,26 @@
   lifecycle_.Advance(loop_.Now());
   shutdown_timer_.Start(kShutdownStepInterval);
   if (!std::exchange(stepped_in_phase_, true)) iterations_since_step_ = 0;
+  if (pool_.calls() == 0) lifecycle_.CallsDone(loop_.Now());
   if (lifecycle_.phase() == Phase::kDisconnecting) DisconnectClients();
   if (lifecycle_.phase() == Phase::kRejecting) RejectClients();
   if (lifecycle_.phase() == Phase::kClosing) FinishIfDrained();
 }
 
 // The listener stays open meanwhile, so that a client whose request crosses the close of its connection can
-// connect again. It is closed if a successor runs, as that process listens too.
+// connect again. It is closed if a successor runs: new clients wait in that process's queue until it serves.
 void Node::DisconnectClients() {
   Did(Action::kDisconnectClients);
-  const bool closed = lifecycle_.handing_over() && server_.StopListening();
+  const bool closed = lifecycle_.handing_over() && StopListening();
   const bool none_left = server_.DisconnectIdle(lifecycle_.handing_over());
   if (closed && none_left && events_.empty()) lifecycle_.AllClientsDone(loop_.Now());
 }
 
+// False if some clients that have connected can't be accepted yet: the call must then be repeated.
+bool Node::StopListening() {
+  return lifecycle_.handing_over() ? server_.HandOverListening() : server_.StopListening();
+}
+
 // Answers and disconnects every client that has connected. However late the process is, no client is cut off
 // by time before a whole iteration of the loop has read what had arrived when intake ended.
 void Node::RejectClients() {
@@ -98,19 +106,19 @@
   const bool read_once = iterations_since_step_ > 0;
   const bool stop_reading = read_once && lifecycle_.MustClose(now);
   const bool close_all = read_once && lifecycle_.MustEnd(now);
-  const bool closed = server_.StopListening() || close_all;
+  const bool closed = StopListening() || close_all;
   const bool all_rejected = server_.RejectClients(close_all      ? net::RejectMode::kCloseAll
                                                   : stop_reading ? net::RejectMode::kStopReading
                                                                  : net::RejectMode::kReadPending);
   if (closed && all_rejected && events_.empty()) lifecycle_.AllClientsDone(loop_.Now());
 }
 
-// Ends the process once nothing is in flight any more, or the time for the shutdown is over.
+// Ends the process once nothing is in flight any more, or the time for the shutdown is over. Calls that are
+// still in flight as intake has passed to a successor are not waited for, as its clients would wait too.
 void Node::FinishIfDrained() {
   pool_.EndUnstarted();
-  const bool notices_done = lifecycle_.handing_over() || state_.notices.empty();
-  const bool nothing_left =
-      server_.connections() == 0 && pool_.calls() == 0 && notices_done && events_.empty();
+  const bool nothing_in_flight = lifecycle_.handing_over() || (pool_.calls() == 0 && state_.notices.empty());
+  const bool nothing_left = server_.connections() == 0 && nothing_in_flight && events_.empty();
   if (nothing_left) return Finish(PhaseCause::kNothingInFlight);
   if (lifecycle_.MustEnd(loop_.Now()) && iterations_since_step_ > 0) Finish(PhaseCause::kOutOfTime);
 }
--- a/src/node/node_turn.cpp
+++ b/src/node/node_turn.cpp
@@ -74,7 +74,7 @@
   if (client != net::PeerState::kOpen) {
     message.refusal = state::Refusal::kClientEnded;
   } else if (!may_accept_messages_) {
-    message.refusal = lifecycle_.standby() ? state::Refusal::kStandby : state::Refusal::kStopping;
+    message.refusal = state::Refusal::kStopping;
   }
   Reduce(message);
   if (client == net::PeerState::kGone) Reduce(state::ClientGone{message.client.connection});
--- a/src/node/resource_shares.cpp
+++ b/src/node/resource_shares.cpp
@@ -46,16 +46,15 @@
   const std::size_t share = ClientsShare(config);
   return config.client_connections > 0 ? std::min(share, config.client_connections) : share;
 }
-net::RespServer::Limits ServerLimits(const Config& config, bool shared) {
+net::RespServer::Limits ServerLimits(const Config& config) {
   const auto bytes =
       static_cast<std::size_t>(static_cast<double>(config.memory_bytes) * config.client_memory_share);
-  return {MaxClientConnections(config), shared ? bytes / 2 : bytes};
+  return {MaxClientConnections(config), bytes};
 }
 
-std::size_t JournalQuotaBytes(const Config& config, bool shared) {
-  const std::size_t available = config.disk_bytes - SmallFilesQuotaBytes(config) -
-                                (config.has_operators_file ? config::MaxStoreBytes(config.disk_bytes) : 0);
-  return shared ? available / 2 : available;
+std::size_t JournalQuotaBytes(const Config& config) {
+  return config.disk_bytes - SmallFilesQuotaBytes(config) -
+         (config.has_operators_file ? config::MaxStoreBytes(config.disk_bytes) : 0);
 }
 
 std::size_t MaxLastGoodBytes(const Config& config) { return SmallFilesQuotaBytes(config) / 4; }
@@ -65,7 +64,7 @@
 }
 
 state::Limits ReducerLimits(const Config& config) {
-  return {static_cast<std::size_t>(std::max(0, config.settings.max_open)), JournalQuotaBytes(config, false),
+  return {static_cast<std::size_t>(std::max(0, config.settings.max_open)), JournalQuotaBytes(config),
           config.classes, config.tenants, config.zones};
 }
 
--- a/src/node/resource_shares.h
+++ b/src/node/resource_shares.h
@@ -1,5 +1,5 @@
 // Divides the resources of the machine: descriptors among clients and calls, the state folder's bytes among
-// the journal, the generations of the configuration and a second process on the same folder. No I/O.
+// the journal and the generations of the configuration. No I/O.
 #pragma once
 
 #include <cstddef>
@@ -18,19 +18,18 @@
 std::size_t MaxCallConnections(const Config& config);
 // Most connections of clients.
 std::size_t MaxClientConnections(const Config& config);
-// Limits of the server that clients connect to. Two processes that share the folder (`shared`) have half of
-// the memory each.
-net::RespServer::Limits ServerLimits(const Config& config, bool shared);
+// Limits of the server that clients connect to.
+net::RespServer::Limits ServerLimits(const Config& config);
 
 // Bytes of the folder that the journal may fill. The generations, if there are any, have a share of their
-// own. Two processes that share the folder (`shared`) have half each.
-std::size_t JournalQuotaBytes(const Config& config, bool shared);
+// own.
+std::size_t JournalQuotaBytes(const Config& config);
 // Most bytes of the platform's last good file.
 std::size_t MaxLastGoodBytes(const Config& config);
 // The longest journal that is read at a start. It may be longer than the quota: the messages of a journal
 // that was written before `disk_mb` was lowered are still pending.
 std::size_t MaxReadJournalBytes(const Config& config);
-// Limits of the reducer, for a folder that is not shared.
+// Limits of the reducer.
 state::Limits ReducerLimits(const Config& config);
 
 }  // namespace indigosaddle::node
--- a/src/state/refusal.cpp
+++ b/src/state/refusal.cpp
@@ -10,7 +10,6 @@
     case Refusal::kNotWritten: return "not written";
     case Refusal::kPolicy: return "given up by the delivery policy";
     case Refusal::kStopping: return "stopping";
-    case Refusal::kStandby: return "another process serves";
     case Refusal::kClientEnded: return "its client has ended";
   }
   return "unknown";
--- a/src/state/refusal.h
+++ b/src/state/refusal.h
@@ -20,8 +20,6 @@
   kPolicy,
   // Intake is closed, as the process stops.
   kStopping,
-  // Intake is closed, as the process that this one is to replace still serves.
-  kStandby,
   // The client has ended its sending: whether it still reads can't be known.
   kClientEnded
 };
--- a/tests/node_rule_paths_test.cpp
+++ b/tests/node_rule_paths_test.cpp
@@ -115,14 +115,15 @@
   NodeProcess successor(platform.address());
   successor.config = node.config;
   successor.config["settings"]["classes"].back()["effect"] = "read_like";
+  successor.config["listen"] = "127.0.0.1:" + std::to_string(node.port);
   successor.shared_state = node.folder + "/state";
   ASSERT_TRUE(successor.Start());
   const auto enqueue = [&](const std::string& id) {
     return ClientStandIn(successor.port)
         .Ask(ClientStandIn::Enqueue(id, std::string("c=") + kClass + ",d=8000,dest=7"));
   };
-  ASSERT_TRUE(Eventually([&] { return enqueue("soon") == "+OK"; }));
   node.Kill(SIGKILL);
+  ASSERT_TRUE(Eventually([&] { return enqueue("soon") == "+OK"; }));
   ExpectOneCallAndFailure("soon");
   EXPECT_TRUE(Eventually([&] { return platform.notices().contains("out"); }));
   EXPECT_TRUE(HasNotice("out", "failed"));
