HTTP reader: keep only the headers that are asked for

Cause: the reader kept every field of a head in a map of two strings and counted their bytes alone: a field of two bytes held about 110. Nothing bounded the sum over connections, and an idle one kept the head of its last answer.

Change: a reader is told the names that its owner asks for and keeps their values, 1 KiB each; of the status line it keeps how many digits the status has. Trailers are counted and dropped. A connection that becomes idle forgets its last answer.

Why it mends: what a connection can hold no longer depends on what its peer sends, so the sum is at most 3 KiB for each.

--- a/src/net/call_answer.cpp
+++ b/src/net/call_answer.cpp
@@ -14,11 +14,11 @@
 // the header is missing or unreadable; a 503 only if it has the header.
 Micros RetryAfterOf(const HttpReader& answer) {
   const state::AttemptResult attempt_result =
-      state::AttemptResultOfStatus(answer.status(), answer.header("x-no-slot") == "1");
+      state::AttemptResultOfStatus(answer.status(), answer.header(kNoSlotHeader) == "1");
   const bool has_retry_after =
       attempt_result == state::AttemptResult::kTooManyRequests ||
-      (attempt_result == state::AttemptResult::kUnavailable && answer.has("x-retry-in-ms"));
-  return has_retry_after ? ParseRetryAfter(answer.header("x-retry-in-ms")) : Micros(0);
+      (attempt_result == state::AttemptResult::kUnavailable && answer.has(kRetryAfterHeader));
+  return has_retry_after ? ParseRetryAfter(answer.header(kRetryAfterHeader)) : Micros(0);
 }
 
 }  // namespace
@@ -26,7 +26,7 @@
 // Unsolicited bytes may hold a Retry-After too: they can be the proper answer to a call that a duplicate of
 // an earlier answer has ended.
 Micros CallPool::RetryAfterIn(std::string_view bytes) {
-  HttpReader reader(bytes.size());
+  HttpReader reader(bytes.size(), kAnswerHeaders);
   reader.Read(bytes);
   return RetryAfterOf(reader);
 }
@@ -105,7 +105,7 @@
 
 void CallPool::Connection::OnAnswer(bool trailing_bytes, bool keep_alive) {
   const state::AttemptResult attempt_result =
-      state::AttemptResultOfStatus(reader_.status(), reader_.header("x-no-slot") == "1");
+      state::AttemptResultOfStatus(reader_.status(), reader_.header(kNoSlotHeader) == "1");
   ConnectionFacts facts = AnswerFacts(attempt_result, trailing_bytes);
   facts.keep_alive = keep_alive;
   const DenialReason why = CheckConnectionUse(facts, ConnectionUse::kAcceptAnswer);
@@ -113,7 +113,7 @@
   answer_accepted_ = true;
   CallResult result = ResultOf(attempt_result);
   result.retry_after = RetryAfterOf(reader_);
-  result.load = ParseLoadReport(reader_.header("endpoint-load-metrics"));
+  result.load = ParseLoadReport(reader_.header(kLoadReportHeader));
   if (lifecycle_.calls() > 1 && state::MeaningOf(attempt_result).message_done)
     pool_.RecordAcceptedAnswer(*this, serial_);
   if (trailing_bytes) pool_.HandleUnsolicitedData(*this, DenialReason::kTrailingBytes, last_read_size_);
--- a/src/net/call_connection.cpp
+++ b/src/net/call_connection.cpp
@@ -22,7 +22,7 @@
       address_(std::move(address)),
       number_(number),
       lifecycle_(pool.loop_.Now()),
-      reader_(kMaxAnswerBodyBytes),
+      reader_(kMaxAnswerBodyBytes, kAnswerHeaders),
       stream_(pool.loop_, *this),
       call_timer_(pool.loop_, [this] { OnTimeout(); }),
       phase_timer_(pool.loop_, [this] { OnPhaseTimeout(); }) {}
@@ -89,6 +89,7 @@
 
 void CallPool::Connection::BecomeIdle() {
   in_call_ = false;
+  reader_.Reset();  // an idle connection holds nothing of its last answer
   lifecycle_.calls() == 0 ? lifecycle_.MarkConnected(Now()) : lifecycle_.MarkAnswered(Now());
   call_timer_.Stop();
   phase_timer_.Stop();
--- a/src/net/call_format.h
+++ b/src/net/call_format.h
@@ -2,6 +2,7 @@
 // I/O.
 #pragma once
 
+#include <array>
 #include <chrono>
 #include <cstdint>
 #include <optional>
@@ -22,6 +23,12 @@
   bool first_call_only = false;  // it may only be the first call of a connection
 };
 
+// Names of the headers of an answer that are read.
+constexpr std::string_view kNoSlotHeader = "x-no-slot";
+constexpr std::string_view kRetryAfterHeader = "x-retry-in-ms";
+constexpr std::string_view kLoadReportHeader = "endpoint-load-metrics";
+inline constexpr std::array kAnswerHeaders = {kNoSlotHeader, kRetryAfterHeader, kLoadReportHeader};
+
 // The HTTP request of the call. `timeout` is sent as the time that this node still waits.
 std::string FormatCall(const CallRequest& request);
 
--- a/src/net/discovery.cpp
+++ b/src/net/discovery.cpp
@@ -30,7 +30,7 @@
     : loop_(loop),
       handler_(&handler),
       address_(std::move(address)),
-      reader_(std::numeric_limits<std::size_t>::max(), [this](std::string_view bytes) { OnBody(bytes); }),
+      reader_(std::numeric_limits<std::size_t>::max(), {}, [this](std::string_view bytes) { OnBody(bytes); }),
       response_timer_(loop, [this] { OnResponseTimeout(); }),
       request_timer_(loop,
                      [this] {
--- a/src/net/http_reader.cpp
+++ b/src/net/http_reader.cpp
@@ -11,20 +11,34 @@
 constexpr std::size_t kMaxHeadBytes = std::size_t{16} * 1024;
 constexpr std::size_t kStatusDigits = 3;
 
-// Whether the status line has a status of exactly three digits. The parser alone accepts leading zeros.
-bool HasValidStatus(std::string_view line) {
-  line.remove_prefix(std::min(line.find(' '), line.size()));
-  line.remove_prefix(std::min(line.find_first_not_of(' '), line.size()));
-  const std::size_t digits = line.substr(0, line.find_first_of(" \r\n")).size();
-  return digits == kStatusDigits && line.front() != '0';
-}
+char ToLower(char c) { return c >= 'A' && c <= 'Z' ? static_cast<char>(c - 'A' + 'a') : c; }
 
 bool IsInformational(unsigned status) { return status >= 100 && status < 200; }
 
 }  // namespace
 
-HttpReader::HttpReader(std::size_t max_body_bytes, std::function<void(std::string_view)> on_body)
-    : max_body_bytes_(max_body_bytes), on_body_(std::move(on_body)) {
+void HttpReader::StatusLine::Read(std::string_view piece) {
+  for (const char c : piece) {
+    const bool ends_word = c == ' ' || c == '\r' || c == '\n';
+    if (part == Part::kVersion && c == ' ') part = Part::kSpace;
+    if (part == Part::kSpace && !ends_word) {
+      part = Part::kDigits;
+      leading_zero = c == '0';
+    }
+    if (part == Part::kDigits && ends_word) part = Part::kRest;
+    if (part == Part::kDigits) ++digits;
+  }
+}
+
+bool HttpReader::StatusLine::valid() const { return digits == kStatusDigits && !leading_zero; }
+
+HttpReader::HttpReader(std::size_t max_body_bytes, std::span<const std::string_view> header_names,
+                       std::function<void(std::string_view)> on_body)
+    : max_body_bytes_(max_body_bytes),
+      on_body_(std::move(on_body)),
+      header_names_(header_names),
+      headers_(header_names.size()) {
+  for (const std::string_view name : header_names_) max_name_bytes_ = std::max(max_name_bytes_, name.size());
   Reset();
 }
 
@@ -34,11 +48,18 @@
   status_ = 0;
   begun_ = head_done_ = done_ = keep_alive_ = ends_with_connection_ = in_value_ = status_line_done_ =
       malformed_ = false;
-  status_line_.clear();
+  status_line_ = {};
   head_bytes_ = body_bytes_ = 0;
+  ClearHeaders();
+}
+
+void HttpReader::ClearHeaders() {
   name_.clear();
-  value_.clear();
-  headers_.clear();
+  for (Header& header : headers_) {
+    header.present = header.too_long = false;
+    std::string().swap(header.value);
+  }
+  current_ = nullptr;
 }
 
 bool HttpReader::CountHeadBytes(std::size_t bytes) { return (head_bytes_ += bytes) <= kMaxHeadBytes; }
@@ -60,21 +81,16 @@
     };
     s.on_header_field = [](http_parser* p, const char* data, std::size_t size) {
       HttpReader& self = ReaderOf(p);
-      if (self.in_value_) self.StoreHeader();
-      for (char c : std::string_view(data, size)) {
-        self.name_ += c >= 'A' && c <= 'Z' ? static_cast<char>(c - 'A' + 'a') : c;
-      }
+      self.ReadHeaderName({data, size});
       return self.CountHeadBytes(size) ? 0 : 1;
     };
     s.on_header_value = [](http_parser* p, const char* data, std::size_t size) {
       HttpReader& self = ReaderOf(p);
-      self.in_value_ = true;
-      self.value_.append(data, size);
+      self.ReadHeaderValue({data, size});
       return self.CountHeadBytes(size) ? 0 : 1;
     };
     s.on_headers_complete = [](http_parser* p) {
       HttpReader& self = ReaderOf(p);
-      if (self.in_value_) self.StoreHeader();
       if (IsInformational(p->status_code)) return 0;
       self.status_ = static_cast<int>(p->status_code);  // the status line may lack its reason phrase
       self.head_done_ = true;
@@ -94,8 +110,9 @@
     s.on_message_complete = [](http_parser* p) {
       HttpReader& self = ReaderOf(p);
       if (IsInformational(p->status_code)) {
-        self.headers_.clear();
-        self.status_line_.clear();
+        self.ClearHeaders();
+        self.status_line_ = {};
+        self.in_value_ = false;
         self.begun_ = self.status_line_done_ = false;
         return 0;
       }
@@ -108,11 +125,30 @@
   return settings;
 }
 
-void HttpReader::StoreHeader() {
-  const auto [entry, is_new] = headers_.try_emplace(std::exchange(name_, {}));
-  if (!is_new) entry->second += ", ";
-  entry->second += std::exchange(value_, {});
-  in_value_ = false;
+// Fields behind the head, in the trailer of a chunked body, are counted and dropped.
+void HttpReader::ReadHeaderName(std::string_view piece) {
+  if (std::exchange(in_value_, false)) name_.clear();
+  if (head_done_) return;
+  // One character more than the longest name tells that this is a longer one.
+  for (const char c : piece.substr(0, max_name_bytes_ + 1 - std::min(name_.size(), max_name_bytes_ + 1)))
+    name_ += ToLower(c);
+}
+
+void HttpReader::ReadHeaderValue(std::string_view piece) {
+  if (!std::exchange(in_value_, true)) {
+    const auto kept = std::find(header_names_.begin(), header_names_.end(), name_);
+    const bool is_kept = !head_done_ && kept != header_names_.end();
+    current_ = is_kept ? &headers_[static_cast<std::size_t>(kept - header_names_.begin())] : nullptr;
+    if (current_ != nullptr && std::exchange(current_->present, true) && !current_->too_long)
+      current_->value += ", ";
+  }
+  if (current_ == nullptr || current_->too_long) return;
+  if (current_->value.size() + piece.size() <= kMaxValueBytes) {
+    current_->value += piece;
+  } else {
+    current_->too_long = true;
+    std::string().swap(current_->value);
+  }
 }
 
 // The status counts only once its line is complete: an incomplete line may go on in any way.
@@ -130,10 +166,10 @@
 // Returns false if that line is malformed.
 bool HttpReader::ReadStatusLine(std::string_view piece, bool complete) {
   if (!begun_ || status_line_done_ || malformed_) return !malformed_;
-  status_line_ += piece;
+  status_line_.Read(piece);
   if (!complete) return true;
   status_line_done_ = true;
-  malformed_ = !HasValidStatus(status_line_);
+  malformed_ = !status_line_.valid();
   if (!malformed_ && !IsInformational(parser_.status_code)) status_ = static_cast<int>(parser_.status_code);
   return !malformed_;
 }
@@ -152,10 +188,20 @@
   if (!done_ && !malformed_) http_parser_execute(&parser_, &Callbacks(), nullptr, 0);
 }
 
-std::string_view HttpReader::header(const std::string& lower_name) const {
-  const auto it = headers_.find(lower_name);
-  if (it == headers_.end()) return {};
-  return it->second;
+const HttpReader::Header* HttpReader::Find(std::string_view name) const {
+  const auto kept = std::find(header_names_.begin(), header_names_.end(), name);
+  if (kept == header_names_.end()) return nullptr;
+  return &headers_[static_cast<std::size_t>(kept - header_names_.begin())];
+}
+
+bool HttpReader::has(std::string_view name) const {
+  const Header* header = Find(name);
+  return header != nullptr && header->present;
+}
+
+std::string_view HttpReader::header(std::string_view name) const {
+  const Header* header = Find(name);
+  return header != nullptr ? std::string_view(header->value) : std::string_view();
 }
 
 }  // namespace indigosaddle::net
--- a/tests/net_malformed_answer_test.cpp
+++ b/tests/net_malformed_answer_test.cpp
@@ -1,8 +1,10 @@
 // Heads of endpoints' answers with missing, malformed or repeated parts. Uses no sockets.
 #include <gtest/gtest.h>
 
+#include <array>
 #include <chrono>
 #include <string>
+#include <string_view>
 
 #include "net/call_format.h"
 #include "net/http_reader.h"
@@ -38,7 +40,8 @@
 
 // Guards against using only the last line of a repeated header.
 TEST(RepeatedHeader, ValuesOfARepeatedHeaderAreJoined) {
-  HttpReader reader(10);
+  constexpr std::array<std::string_view, 4> kNames = {"a", "x-retry-in-ms", "x-no-slot", "x-none"};
+  HttpReader reader(10, kNames);
   ASSERT_TRUE(
       reader.Read("HTTP/1.1 429 Full\r\nX-Retry-In-Ms: 5000\r\nA: b\r\nx-retry-in-ms: 0\r\nX-No-Slot: \r\n"
                   "Content-Length: 0\r\n\r\n"));
--- a/tests/net_test.cpp
+++ b/tests/net_test.cpp
@@ -2,6 +2,7 @@
 #include <gtest/gtest.h>
 
 #include <algorithm>
+#include <array>
 #include <map>
 #include <random>
 #include <string>
@@ -23,8 +24,9 @@
   const std::string text =
       "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 429 Too Many\r\nX-Retry-In-Ms: 250\r\nContent-Length: "
       "3\r\n\r\nabc";
+  constexpr std::array<std::string_view, 2> kNames = {"absent", "x-retry-in-ms"};
   for (std::size_t i = 0; i <= text.size(); ++i) {
-    HttpReader reader(10);
+    HttpReader reader(10, kNames);
     ASSERT_TRUE(reader.Read(std::string_view(text).substr(0, i))) << i;
     ASSERT_TRUE(reader.Read(std::string_view(text).substr(i))) << i;
     EXPECT_TRUE(reader.done()) << i;
