--- a/src/state/reducer_base.h
+++ b/src/state/reducer_base.h
@@ -31,23 +31,36 @@
   void Commit(std::string bytes) {
     bytes += std::exchange(state_.staged, {});
     LimitCompleted();
-    // Size of a rewrite, rounded up.
-    const std::size_t reserve =
-        state_.reserved_bytes + state_.completed.bytes() + JournalHeader().size() + 2 * kBlockBytes;
-    if (!bytes.empty() || state_.rewrite_due) {
-      if (state_.rewrite_due || state_.journal_size + bytes.size() + reserve > state_.limits.journal_bytes) {
-        bytes = Snapshot(state_);
-        state_.journal_size = bytes.size();
-        effects_.emplace_back(RewriteJournal{std::move(bytes)});
-      } else {
-        state_.journal_size += bytes.size();
-        effects_.emplace_back(AppendJournal{std::move(bytes)});
-      }
+    if (bytes.empty() && !state_.rewrite_due) return ReleaseAfterWrite();
+    if (state_.rewrite_due || MustRewrite(bytes.size())) {
+      bytes = Snapshot(state_);
+      state_.journal_size = bytes.size();
+      effects_.emplace_back(RewriteJournal{std::move(bytes)});
     } else {
-      ReleaseAfterWrite();
+      state_.journal_size += bytes.size();
+      effects_.emplace_back(AppendJournal{std::move(bytes)});
     }
   }
 
+  // Whether the journal is to be rewritten in place of appending to it. Beside the file there is always room
+  // for the largest rewrite, as the messages of one turn may fill all that pending messages may. Where more
+  // than that is pending, because the limit was lowered, records are appended without that room: those that
+  // end messages make it.
+  bool MustRewrite(std::size_t appended_bytes) const {
+    const std::size_t limit = state_.limits.journal_bytes;
+    const std::size_t rewrite = FileBytes(state_.reserved_bytes + state_.completed.bytes());
+    const std::size_t largest_rewrite = std::max(rewrite, FileBytes(limit * kPendingJournalPercent / 100));
+    const std::size_t appended = state_.journal_size + appended_bytes;
+    if (appended + largest_rewrite <= limit) return false;
+    return state_.journal_size + rewrite <= limit || appended > limit;
+  }
+
+  // Bytes of the folder that a file with so many bytes of records may count as, with the rounding of the file
+  // beside it.
+  static std::size_t FileBytes(std::size_t records) {
+    return records + JournalHeader().size() + 2 * kBlockBytes;
+  }
+
   // Keeps as many completed messages as the journal has room for beside the pending ones.
   void LimitCompleted() {
     const std::size_t all = state_.limits.journal_bytes * kPendingJournalPercent / 100;
--- a/tests/state_driver.h
+++ b/tests/state_driver.h
@@ -58,6 +58,7 @@
       ++writes;
       if (disk_ok && append != nullptr) journal += append->bytes;
       if (disk_ok && rewrite != nullptr) {
+        max_folder_bytes = std::max(max_folder_bytes, journal.size() + rewrite->bytes.size());
         journal = rewrite->bytes;
         ++rewrites;
       }
@@ -128,6 +129,8 @@
   std::string journal;
   // The longest that the journal has been.
   std::size_t max_journal_bytes = 0;
+  // The most that the journal and a rewrite beside it have been together.
+  std::size_t max_folder_bytes = 0;
   // Journal writes, rewrites included.
   int writes = 0;
   int rewrites = 0;
