--- a/tests/node_hand_over_test.cpp
+++ b/tests/node_hand_over_test.cpp
@@ -5,6 +5,7 @@
 #include <csignal>
 
 #include "stand_ins.h"
+#include "successor.h"
 
 namespace indigosaddle::testing {
 namespace {
@@ -16,9 +17,7 @@
   }
   // The process listens on the node's address, as the platform starts it.
   void StartBeside(NodeProcess& process) {
-    process.config = node.config;
-    process.config["listen"] = "127.0.0.1:" + std::to_string(node.port);
-    process.shared_state = node.folder + "/state";
+    ConfigureAsSuccessor(process, node);
     ASSERT_TRUE(process.Start());
     ASSERT_NE(process.log().find("journal.shared"), std::string::npos);
   }
--- a/tests/node_ops_test.cpp
+++ b/tests/node_ops_test.cpp
@@ -7,6 +7,7 @@
 
 #include "operators_calls.h"
 #include "stand_ins.h"
+#include "successor.h"
 
 namespace indigosaddle::testing {
 namespace {
@@ -120,10 +121,8 @@
  protected:
   SuccessorTest() : successor(platform.address()) {}
   void StartSuccessor() {
-    successor.config = node.config;
-    successor.config["listen"] = "127.0.0.1:" + std::to_string(node.port);
+    ConfigureAsSuccessor(successor, node);
     successor.config["control"] = "127.0.0.1:" + std::to_string(FreePort());
-    successor.shared_state = node.folder + "/state";
     ASSERT_TRUE(successor.Start());
     ASSERT_NE(successor.log().find("journal.shared"), std::string::npos);
   }
--- a/tests/node_ready_test.cpp
+++ b/tests/node_ready_test.cpp
@@ -66,6 +66,7 @@
   ASSERT_TRUE(node.Start());
   NodeProcess second(platform.address()), third(platform.address());
   second.shared_state = third.shared_state = node.folder + "/state";
+  second.config["listen"] = third.config["listen"] = "127.0.0.1:" + std::to_string(node.port);
   EXPECT_LT(TimeUntilReady(second), kMaxStartTime);
   node.Signal(SIGTERM);
   EXPECT_LT(TimeUntilReady(third), kMaxStartTime);
--- a/tests/node_replacement_test.cpp
+++ b/tests/node_replacement_test.cpp
@@ -9,6 +9,7 @@
 #include "folder_watch.h"
 #include "stand_ins.h"
 #include "steady_clients.h"
+#include "successor.h"
 
 namespace indigosaddle::testing {
 namespace {
@@ -25,9 +26,7 @@
   PlannedReplacement() : successor(platform.address()) {}
 
   void StartSuccessor() {
-    successor.config = node.config;
-    successor.config["listen"] = "127.0.0.1:" + std::to_string(node.port);
-    successor.shared_state = node.folder + "/state";
+    ConfigureAsSuccessor(successor, node);
     ASSERT_TRUE(successor.Start());
   }
   bool HasTakenOver() { return successor.log().find("journal.taken_over") != std::string::npos; }
--- a/tests/node_rule_paths_test.cpp
+++ b/tests/node_rule_paths_test.cpp
@@ -7,6 +7,7 @@
 #include <thread>
 
 #include "rule_changes.h"
+#include "successor.h"
 
 namespace indigosaddle::testing {
 namespace {
@@ -113,10 +114,8 @@
   ASSERT_TRUE(EnqueueOnceListed("out", std::string("c=") + kClass + ",d=8000,dest=8"));
   ASSERT_TRUE(Eventually([&] { return slow.CallsFor("out") == 1; }));
   NodeProcess successor(platform.address());
-  successor.config = node.config;
+  ConfigureAsSuccessor(successor, node);
   successor.config["settings"]["classes"].back()["effect"] = "read_like";
-  successor.config["listen"] = "127.0.0.1:" + std::to_string(node.port);
-  successor.shared_state = node.folder + "/state";
   ASSERT_TRUE(successor.Start());
   const auto enqueue = [&](const std::string& id) {
     return ClientStandIn(successor.port)
--- a/tests/node_stop_paths_test.cpp
+++ b/tests/node_stop_paths_test.cpp
@@ -4,6 +4,7 @@
 
 #include "operators_calls.h"
 #include "stopped_node.h"
+#include "successor.h"
 
 namespace indigosaddle::testing {
 namespace {
@@ -116,9 +117,7 @@
 TEST_F(StopPaths, BesideASuccessorThePredecessorAcceptsNothingAfterTheHandOver) {
   ASSERT_TRUE(node.Start());
   NodeProcess successor(platform.address());
-  successor.config = node.config;
-  successor.config["listen"] = "127.0.0.1:" + std::to_string(node.port);
-  successor.shared_state = node.folder + "/state";
+  ConfigureAsSuccessor(successor, node);
   ASSERT_TRUE(successor.Start());
   std::vector<milliseconds> last_bytes;
   for (int at = 1300; at <= 2200; at += 50) last_bytes.push_back(milliseconds(at));
@@ -135,9 +134,7 @@
   ClientStandIn idle_client(node.port);
   ASSERT_EQ(idle_client.Ask(ClientStandIn::Command({"PING"})), "+PONG");
   NodeProcess successor(platform.address());
-  successor.config = node.config;
-  successor.config["listen"] = "127.0.0.1:" + std::to_string(node.port);
-  successor.shared_state = node.folder + "/state";
+  ConfigureAsSuccessor(successor, node);
   std::thread starter([&] {
     EXPECT_TRUE(Eventually([&] { return node.log().find("to=draining") != std::string::npos; }));
     successor.Start();  // the predecessor may answer its PING before it has noticed the successor
@@ -157,9 +154,7 @@
   ASSERT_TRUE(node.Start());
   {
     NodeProcess successor(platform.address());
-    successor.config = node.config;
-    successor.config["listen"] = "127.0.0.1:" + std::to_string(node.port);
-    successor.shared_state = node.folder + "/state";
+    ConfigureAsSuccessor(successor, node);
     ASSERT_TRUE(successor.Start());
     successor.Kill(SIGKILL);
   }
--- a/tests/node_successor_test.cpp
+++ b/tests/node_successor_test.cpp
@@ -4,6 +4,7 @@
 #include <csignal>
 
 #include "retry_after.h"
+#include "successor.h"
 
 namespace indigosaddle::testing {
 namespace {
@@ -13,9 +14,7 @@
  protected:
   SuccessorBesidePredecessor() : successor(platform.address()) {}
   void StartSuccessor() {
-    successor.config = node.config;
-    successor.config["listen"] = "127.0.0.1:" + std::to_string(node.port);
-    successor.shared_state = node.folder + "/state";
+    ConfigureAsSuccessor(successor, node);
     ASSERT_TRUE(successor.Start());
   }
   NodeProcess successor;
@@ -33,6 +32,19 @@
   EXPECT_TRUE(Eventually([&] { return CallsSinceRetryAfter().size() >= 2; }));
 }
 
+// Issue 68: what the predecessor was told does not reach its successor, which calls as soon as it has taken
+// over.
+TEST_F(SuccessorBesidePredecessor, ARetryAfterOfThePredecessorHoldsOverTheTakeOver) {
+  retry_after_ = milliseconds(4000);
+  StartAndReceiveRetryAfter();
+  StartSuccessor();
+  node.Signal(SIGTERM);
+  EXPECT_EQ(node.Wait(), 0);
+  ASSERT_EQ(Enqueue("new", "c=safe,d=60000,dest=7"), "+OK");
+  EXPECT_TRUE(Eventually([&] { return CallsSinceRetryAfter().size() >= 2; }));
+  ExpectNoCallsDuring(retry_after_);
+}
+
 // Guards against the call of an order key's later message while the first is in flight at the predecessor.
 TEST_F(SuccessorBesidePredecessor, AKeysFirstMessageHoldsItsLaterOneThatComesBesideASuccessor) {
   EndpointStandIn slow([](Socket& s, const HttpRequest&, int) { return Hang(s); });
