--- a/src/net/http_reader.cpp
+++ b/src/net/http_reader.cpp
@@ -201,7 +201,8 @@
 
 std::string_view HttpReader::header(std::string_view name) const {
   const Header* header = Find(name);
-  return header != nullptr ? std::string_view(header->value) : std::string_view();
+  if (header == nullptr) return {};
+  return header->value;
 }
 
 }  // namespace indigosaddle::net
