State folder: a third process does not overtake the successor

Cause: a process that starts tried the owner's lock first.

Change: the successor's lock comes first, so who does not hold it can't own the folder.

Why it mends: a waiting successor holds that lock, and gives it up only once it owns the folder and has rewritten it.

Tests: JournalFileTest.AThirdProcessDoesNotOvertakeTheSuccessor failed before (the third one got the owner's role).

--- a/src/node/journal_file.cpp
+++ b/src/node/journal_file.cpp
@@ -40,10 +40,12 @@
 
 JournalFile::Role JournalFile::Claim() {
   if (owner_lock_ >= 0) return Role::kOwner;
-  owner_lock_ = TryLock("journal.lock");
+  // The successor's lock comes first: a process that starts as the owner ends must not overtake the successor
+  // that waits for it.
   if (next_lock_ < 0) next_lock_ = TryLock("journal.next.lock");
-  if (owner_lock_ >= 0) return Role::kOwner;
   if (next_lock_ < 0) return Role::kNone;
+  owner_lock_ = TryLock("journal.lock");
+  if (owner_lock_ >= 0) return Role::kOwner;
   may_write_ = false;
   return Role::kSuccessor;
 }
--- a/src/node/journal_file.h
+++ b/src/node/journal_file.h
@@ -25,7 +25,7 @@
   JournalFile(const JournalFile&) = delete;
   JournalFile& operator=(const JournalFile&) = delete;
 
-  // Role of this process in the folder. kNone: two other processes already share it.
+  // Role of this process in the folder. kNone: another process waits to own it, or has just come to own it.
   enum class Role : std::uint8_t { kOwner, kSuccessor, kNone };
   // Tries to take the locks and returns the role from now on; an owner stays the owner. Without a call, as in
   // tools, the owner's file is used. A successor that has become the owner writes nothing until it has read
--- a/tests/journal_file_test.cpp
+++ b/tests/journal_file_test.cpp
@@ -189,6 +189,21 @@
   EXPECT_EQ(next, "successor ");
 }
 
+// Guards against a third process that takes the folder as its owner ends, before the successor that has
+// waited for it: the successor would wait on, with the clients in its queue.
+TEST_F(JournalFileTest, AThirdProcessDoesNotOvertakeTheSuccessor) {
+  JournalFile successor(folder_), third(folder_);
+  {
+    JournalFile owner(folder_);
+    ASSERT_EQ(owner.Claim(), JournalFile::Role::kOwner);
+    ASSERT_TRUE(owner.Rewrite("owner "));
+    ASSERT_EQ(successor.Claim(), JournalFile::Role::kSuccessor);
+    EXPECT_EQ(third.Claim(), JournalFile::Role::kNone);
+  }
+  EXPECT_EQ(third.Claim(), JournalFile::Role::kNone);
+  EXPECT_EQ(successor.Claim(), JournalFile::Role::kOwner);
+}
+
 TEST_F(JournalFileTest, SuccessorBecomesTheOwnerAndAnotherMayStart) {
   JournalFile successor(folder_);
   ReplaceAnEndedOwner(successor);
