Replacement test: an answer counts from before it is written

Change: the answer is noted before it is written. A call that begins before the answer is written still fails the test.

--- a/tests/node_replacement_test.cpp
+++ b/tests/node_replacement_test.cpp
@@ -76,9 +76,8 @@
     const std::string id = request.headers.at("x-trace-id");
     order.Begin(id, id.back() == '1' ? id.substr(0, id.size() - 1) + "0" : "");
     std::this_thread::sleep_for(milliseconds(20));
-    const bool written = socket.Write(Answer(200));
-    order.Answer(id);
-    return written;
+    order.Answer(id);  // before it is written: the node may begin the next call at once
+    return socket.Write(Answer(200));
   });
   platform.Set(PlatformStandIn::Member("s-7", endpoint.address(), 7));
   for (auto& message_class : node.config["settings"]["classes"]) message_class["sequential"] = true;
