List clock: an unanswered request behind a refusal restarts nothing

Where discovery refuses requests and is unreachable in turn, the list never counts as outdated, and calls to endpoints that drain meanwhile go on.

Cause: ListClock::OnNoResponse moved the start of the 6 s also behind a refusal. Discovery could be reached when it refused.

Evidence: the new test's clock, confirmed at 10 s and refused and unanswered in turn, ran out at 32.7 s instead of 15.7 s.

Change: an unanswered request counts only up to the first refusal since the list was confirmed.

Why it mends: no later event but a confirmed list moves the limit that a refusal has set.

Test: ListClock.AnUnansweredRequestAfterARefusalDoesNotRestartTheClock failed before, as above.

--- a/src/net/list_clock.h
+++ b/src/net/list_clock.h
@@ -2,8 +2,9 @@
 //
 // A node counts as knowing a change 6 s after discovery had it and was reachable, whatever happened before.
 // Discovery that does not respond is not reachable; discovery that refuses a request is. So a refusal does
-// not restart the 6 s: the list stays valid for 6 s from the latest instant at which it was confirmed or
-// discovery was unreachable. After that nothing new may be sent until a list arrives.
+// not restart the 6 s: the list stays valid for 6 s from the latest instant, before the first refusal, at
+// which it was confirmed or discovery was unreachable. After that nothing new may be sent until a list
+// arrives.
 #pragma once
 
 #include <algorithm>
@@ -23,8 +24,11 @@
  public:
   // A complete line or list arrived and could be read.
   void OnConfirmed(Micros now) { confirmed_at_ = std::max(confirmed_at_, now), refused_ = false; }
-  // A request sent at `asked_at` got no response: discovery may have been unreachable at that time.
-  void OnNoResponse(Micros asked_at) { confirmed_at_ = std::max(confirmed_at_, asked_at); }
+  // A request sent at `asked_at` got no response: discovery may have been unreachable at that time. Once a
+  // request was refused this changes nothing: discovery had been reachable, and may have had a change then.
+  void OnNoResponse(Micros asked_at) {
+    if (!refused_) confirmed_at_ = std::max(confirmed_at_, asked_at);
+  }
   // A request was refused, or its response could not be read.
   void OnRefused() { refused_ = true; }
   // The list counts as outdated from then on. Micros::max(): no request was refused since the list was last
@@ -34,7 +38,8 @@
   }
 
  private:
-  // The latest instant at which the list was confirmed or discovery may have been unreachable.
+  // The latest instant at which the list was confirmed, or discovery may have been unreachable before it
+  // refused a request.
   Micros confirmed_at_{0};
   bool refused_ = false;  // since the list was last confirmed
 };
--- a/tests/net_discovery_test.cpp
+++ b/tests/net_discovery_test.cpp
@@ -122,6 +122,22 @@
   EXPECT_EQ(clock.outdated_from(), seconds(36) - kListChangeMargin);
 }
 
+// Guards against a list without an end where discovery refuses requests and can't be reached in turn: each
+// unanswered request restarted the 6 s.
+TEST(ListClock, AnUnansweredRequestAfterARefusalDoesNotRestartTheClock) {
+  ListClock clock;
+  clock.OnConfirmed(seconds(10));
+  for (int request_time = 11; request_time < 30; request_time += 2) {
+    clock.OnRefused();
+    clock.OnNoResponse(seconds(request_time));
+    EXPECT_EQ(clock.outdated_from(), seconds(16) - kListChangeMargin) << request_time;
+  }
+  clock.OnConfirmed(seconds(40));
+  clock.OnNoResponse(seconds(41));
+  clock.OnRefused();
+  EXPECT_EQ(clock.outdated_from(), seconds(47) - kListChangeMargin);
+}
+
 TEST(ListClock, AConfirmedListStopsTheClock) {
   ListClock clock;
   clock.OnRefused();
