Discovery client: a response that brings no list shows that discovery can be reached

Cause: a response without a whole list in time counted as no response, one that broke off as a lost connection. Neither limits the list in hand, though discovery can be reached (STANDING.md: 6 s "after discovery had it and could be reached").

Change: once a byte of the body, or a whole response, has come without an update, the failure is ListFailure::kNoList. The times of the requests are as before. Silence behind a head, and a close without a byte, limit nothing: a discovery that is down does both.

Why it mends: every way in which a response can fail to bring an update is now either silence or a limit.

ASilentOrClosedConnectionDoesNotLimitTheList passed before and after.

--- a/src/net/discovery.cpp
+++ b/src/net/discovery.cpp
@@ -75,7 +75,7 @@
   reader_.Reset();
   stream_ = std::make_unique<Stream>(loop_, static_cast<Stream::Listener&>(*this));
   requested_at_ = loop_.Now();
-  connected_ = head_received_ = update_received_ = false;
+  connected_ = head_received_ = body_received_ = update_received_ = false;
   response_timer_.Start(response_timeout_);
   if (stream_->Connect(address_) != 0) OnFailure("can't connect", Failure::kNoResponse);
 }
@@ -106,6 +106,7 @@
     }
     return;
   }
+  body_received_ = true;
   if (watching_) return OnFailure("the watch ended");
   HandleUpdate(std::exchange(text_, {}));
   if (!version_) return OnFailure("no whole list that can be read", Failure::kMalformed);
@@ -126,6 +127,7 @@
 
 void DiscoveryClient::OnBody(std::string_view bytes) {
   if (reader_.status() != 200 || stream_ == nullptr) return;
+  body_received_ = true;
   if (!watching_) {
     text_.append(bytes);
   } else {
@@ -184,7 +186,9 @@
   handler_.OnWatchLost(reason, {ListFailureOf(failure), requested_at_, loop_.Now()});
 }
 
-ListFailure DiscoveryClient::ListFailureOf(Failure failure) {
+// Discovery that has begun to send a list or a line can be reached, however the response ends.
+ListFailure DiscoveryClient::ListFailureOf(Failure failure) const {
+  if (body_received_ && !update_received_) return ListFailure::kNoList;
   switch (failure) {
     case Failure::kEnded:
     case Failure::kTimedOut: return ListFailure::kConnectionLost;
--- a/src/net/discovery.h
+++ b/src/net/discovery.h
@@ -61,7 +61,7 @@
     kRefused,     // a status other than 200
   };
   void OnFailure(std::string_view reason, Failure failure = Failure::kEnded);
-  static ListFailure ListFailureOf(Failure failure);
+  ListFailure ListFailureOf(Failure failure) const;
   void CloseStream();
   void OnConfirmed();
   void HandleUpdate(std::string_view json);
@@ -80,6 +80,7 @@
   Micros requested_at_{0};
   bool watching_ = false, request_scheduled_ = false;
   bool connected_ = false, head_received_ = false;
+  bool body_received_ = false;    // a part of a response's body, or a whole response, came on this connection
   bool update_received_ = false;  // a complete line or list came on this connection
   const Micros initial_response_timeout_;
   Micros response_timeout_;  // of a request until its response's head has arrived
--- a/tests/net_malformed_watch_test.cpp
+++ b/tests/net_malformed_watch_test.cpp
@@ -32,17 +32,36 @@
 // `lines` as its first line; the last of each repeats.
 class MalformedUpdates : public ::testing::Test, private net::DiscoveryClient::Handler {
  protected:
+  static bool IsWatch(const HttpRequest& request) {
+    return request.line.find("watch=1") != std::string::npos;
+  }
   void RunDiscovery(std::vector<std::string> lists, std::vector<std::string> lines,
                     const std::function<bool()>& done, milliseconds timeout = seconds(5)) {
-    HttpServer server([&, this](Socket& socket, const HttpRequest& request) {
-      const bool watch = request.line.find("watch=1") != std::string::npos;
+    const auto answer = [&, this](Socket& socket, const HttpRequest& request) {
+      const bool watch = IsWatch(request);
       std::atomic<int>& count = watch ? watch_requests_ : list_requests_;
       const std::vector<std::string>& script = watch ? lines : lists;
       const std::string& text = script[std::min(static_cast<std::size_t>(count++), script.size() - 1)];
       if (watch) std::this_thread::sleep_for(delay_before_line_);
       socket.Write(watch ? kWatchHead + Chunk(text) : ListResponse(text));
       return true;
-    });
+    };
+    RunDiscoveryThat(answer, done, timeout);
+  }
+  // Answers the first list request; each later one, and each watch, is answered by `fault`, which returns
+  // whether the connection stays open.
+  void RunDiscoveryThatFails(const std::function<bool(Socket&)>& fault, const std::function<bool()>& done,
+                             milliseconds timeout = seconds(5)) {
+    const auto answer = [&, this](Socket& socket, const HttpRequest& request) {
+      if (!IsWatch(request) && list_requests_++ == 0) return socket.Write(ListResponse(ListJson(41, "true")));
+      ++watch_requests_;
+      return fault(socket);
+    };
+    RunDiscoveryThat(answer, done, timeout);
+  }
+  void RunDiscoveryThat(const HttpServer::Handler& answer, const std::function<bool()>& done,
+                        milliseconds timeout) {
+    HttpServer server(answer);
     net::Loop loop;
     now_ = [&] { return loop.Now(); };
     net::DiscoveryClient discovery(loop, *this, server.address(), net::RequestPacingFor(1, Micros(0)), 1);
@@ -130,5 +149,46 @@
   EXPECT_LT(validity_.outdated_from(), last_update_at_ + kListChangeDeadline);
 }
 
+// Guards against treating a response that never becomes a list like an unreachable discovery: it can be
+// reached, and the list never counted as outdated.
+TEST_F(MalformedUpdates, AResponseThatTricklesLimitsTheList) {
+  const auto trickle = [](Socket& socket) {
+    socket.Write(kWatchHead);
+    for (int byte = 0; byte < 50 && socket.Write(Chunk("{")); ++byte)
+      std::this_thread::sleep_for(milliseconds(100));
+    return false;
+  };
+  RunDiscoveryThatFails(trickle, [this] { return validity_.outdated_from() < Micros::max(); });
+  EXPECT_LT(validity_.outdated_from(), last_update_at_ + kListChangeDeadline);
+}
+
+TEST_F(MalformedUpdates, AResponseThatBreaksOffLimitsTheList) {
+  const auto break_off = [](Socket& socket) {
+    return socket.Write(kWatchHead + Chunk("{\"seq\":42,")), false;
+  };
+  RunDiscoveryThatFails(break_off, [this] { return validity_.outdated_from() < Micros::max(); });
+  EXPECT_LT(validity_.outdated_from(), last_update_at_ + kListChangeDeadline);
+}
+
+TEST_F(MalformedUpdates, AWatchThatEndsWithoutALineLimitsTheList) {
+  const auto end = [](Socket& socket) { return socket.Write(kWatchHead + "0\r\n\r\n"); };
+  RunDiscoveryThatFails(end, [this] { return validity_.outdated_from() < Micros::max(); });
+  EXPECT_LT(validity_.outdated_from(), last_update_at_ + kListChangeDeadline);
+}
+
+// An agent that is down may accept a request, or begin its answer, and be silent: it has nothing to tell.
+TEST_F(MalformedUpdates, ASilentOrClosedConnectionDoesNotLimitTheList) {
+  int requests = 0;
+  const auto silence = [&](Socket& socket) {
+    if (++requests % 3 == 0) return false;
+    if (requests % 3 == 1) socket.Write(kWatchHead);
+    return Hang(socket);
+  };
+  RunDiscoveryThatFails(
+      silence, [this] { return watch_requests_ >= 4; }, seconds(15));
+  EXPECT_GE(watch_requests_, 4);
+  EXPECT_EQ(validity_.outdated_from(), Micros::max());
+}
+
 }  // namespace
 }  // namespace indigosaddle::testing
--- a/tests/node_discovery_move_test.cpp
+++ b/tests/node_discovery_move_test.cpp
@@ -137,6 +137,18 @@
   ExpectCallsOnlyUntil(moved_at + kMoveDeadline);
 }
 
+// Guards against a list without a limit where the next address sends one that is never complete.
+TEST_F(DiscoveryMoves, AListThatTheNextAddressNeverCompletesIsUsedForFourSeconds) {
+  HttpServer breaks_off([](Socket& socket, const HttpRequest&) {
+    socket.Write("HTTP/1.1 200 OK\r\nContent-Length: 300\r\n\r\n{\"seq\":5,\"whole\":true,\"hosts\":[");
+    return false;
+  });
+  StartAndDeliver();
+  const auto moved_at = MoveTo(breaks_off.address());
+  EnqueueUntil(moved_at + seconds(7));
+  ExpectCallsOnlyUntil(moved_at + kMoveDeadline);
+}
+
 // Guards against a node that stays stopped after the operators' way back: the old watch was open throughout,
 // so it has told everything.
 TEST_F(DiscoveryMoves, MovingBackToAnOpenWatchResumesAtOnce) {
