Trial: an address of discovery that sends no list is rolled back

Cause: the guard compares messages that have ended, and none ends while nothing is sent.

Change: where the change on trial has set the address, it is rolled back as the list gets outdated because of that address, and at the end of a trial that ends before. An address that does not respond, or a change that set none, is as before.

Why it mends: the old watch is still open, so the rollback lifts the limit at once and sending resumes.

--- a/src/node/config_changes.cpp
+++ b/src/node/config_changes.cpp
@@ -152,6 +152,8 @@
     // The trial begins before the change is adopted: what the change causes in its first turn, such as load
     // shedding, is part of the trial.
     if (!apply.undo) guard_.Begin(loop_.Now());
+    const bool moves_discovery = !apply.undo && next->discovery != owner_.running().discovery;
+    discovery_on_trial_ = moves_discovery ? next->discovery : std::string();
     owner_.ApplyConfig(WithRuntimeChanges(owner_.running(), *next));
   } else {
     for (const std::string& fault : faults) error += (error.empty() ? "" : "; ") + fault;
@@ -173,9 +175,21 @@
 void ConfigChanges::CarryOut(const config::EndTrial&) {
   guard_timer_.Stop();
   step_("config.keep");
+  const std::string discovery_fault = DiscoveryFaultOfTrial();
   const config::Assessment last = guard_.End(loop_.Now());
+  const bool regression = last.verdict == config::Verdict::kRegression || !discovery_fault.empty();
   events_.emplace_back(
-      config::GuardReported{last.verdict == config::Verdict::kRegression, true, last.reason});
+      config::GuardReported{regression, true, discovery_fault.empty() ? last.reason : discovery_fault});
+}
+
+void ConfigChanges::OnListOutdatedByMove() {
+  if (const std::string fault = DiscoveryFaultOfTrial(); !fault.empty())
+    HandleEvent(config::GuardReported{true, false, fault});
+}
+
+std::string ConfigChanges::DiscoveryFaultOfTrial() const {
+  const bool set_by_trial = guard_.in_trial() && owner_.running().discovery == discovery_on_trial_;
+  return set_by_trial ? owner_.DiscoveryMoveFault() : std::string();
 }
 
 void ConfigChanges::CarryOut(const config::CancelTrial&) {
--- a/src/node/config_changes.h
+++ b/src/node/config_changes.h
@@ -36,6 +36,9 @@
     virtual std::size_t HeldMessages(const std::string& message_class, const std::string& tenant) const = 0;
     // Puts the configuration in force as a whole, between two turns.
     virtual void ApplyConfig(Config next) = 0;
+    // Why the address of discovery in force keeps the node from using its list for long, as a sentence for
+    // operators; empty: it does not.
+    virtual std::string DiscoveryMoveFault() const = 0;
   };
 
   ConfigChanges(net::Loop& loop, Owner& owner, StartupConfig startup, base::Log& log);
@@ -59,6 +62,10 @@
   // Counts the outcome of one message for the guard.
   void Count(config::GuardOutcome outcome, Micros now) { guard_.Count(outcome, now); }
 
+  // The node stopped sending because of the address of discovery in force. A change on trial that set it is
+  // rolled back: the guard sees nothing, as no message ends meanwhile.
+  void OnListOutdatedByMove();
+
   // Receives the answer to one request, as a JSON object.
   using Answer = std::function<void(nlohmann::json)>;
   // Handles one request of the control socket, a JSON object. `answer` is called exactly once, during this
@@ -96,6 +103,8 @@
   config::Proposal Validated(config::Proposal proposal) const;
   // Asks the guard whether the change on trial has made things worse.
   void CheckGuard();
+  // Why the address of discovery that the change on trial has set is a regression; empty: it is none.
+  std::string DiscoveryFaultOfTrial() const;
   // Stores the callback until the transaction answers under the ticket that is returned.
   std::uint64_t IssueTicket(const Answer& answer);
 
@@ -111,8 +120,9 @@
   std::unique_ptr<config::Store> store_;  // null without an operator's file
   config::Transactions transactions_;
   config::Guard guard_;
-  config::History start_history_;  // until Start
-  std::string start_error_;        // why a file found at the start was unusable; empty: none was
+  std::string discovery_on_trial_;  // the address that the change on trial has set; empty: it set none
+  config::History start_history_;   // until Start
+  std::string start_error_;         // why a file found at the start was unusable; empty: none was
   std::deque<config::TransactionEvent> events_;
   bool handling_events_ = false;
   std::uint64_t last_ticket_ = 0;
--- a/src/node/discovery_link.cpp
+++ b/src/node/discovery_link.cpp
@@ -131,6 +131,12 @@
   const bool by_next = validity_.limited_by() == Address::kNext;
   log_.Write(base::kListOutdated, by_next ? next_address_ : address_in_use_,
              by_next ? next_failure_ : in_use_failure_);
+  if (by_next) owner_.OnListOutdatedByMove();
+}
+
+std::string DiscoveryLink::MoveFault() const {
+  if (outdated_from_ == Micros::max() || validity_.limited_by() != Address::kNext) return "";
+  return fmt::format("discovery at {} sends no list: {}", next_address_, next_failure_);
 }
 
 nlohmann::json DiscoveryLink::Json() const {
--- a/src/node/discovery_link.h
+++ b/src/node/discovery_link.h
@@ -39,6 +39,9 @@
     // Nothing new may be sent from `outdated_from` (node time) on, until the next call; Micros::max(): no
     // limit. Comes after the update that it rests on.
     virtual void OnListValidity(Micros outdated_from) = 0;
+    // Nothing new may be sent from now on, because the address that the configuration names sends no list.
+    // The owner may change the address within this call.
+    virtual void OnListOutdatedByMove() = 0;
     // The next address is in use from now on.
     virtual void OnDiscoverySwitched() = 0;
   };
@@ -64,6 +67,9 @@
   std::optional<Micros> watch_lost_at() const { return watch_lost_at_; }
   // Times since the start that a watch or a request failed, at all addresses.
   std::uint64_t watch_losses() const { return in_use_losses_.total() + next_losses_.total(); }
+  // Why the list at hand is limited by the address that the configuration names, as a sentence for operators;
+  // empty: it is not, or that address is the one in use.
+  std::string MoveFault() const;
   // The "list" part of the node's status.
   nlohmann::json Json() const;
 
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -75,6 +75,7 @@
   void OnMembers(net::MemberListUpdate update) override;
   void OnListWatchLost() override;
   void OnListValidity(Micros outdated_from) override;
+  void OnListOutdatedByMove() override;
   void OnDiscoverySwitched() override;
   void OnNoticesAccepted(const std::vector<std::uint64_t>& serials) override;
   void OnNoticeUnreadable(std::string_view line) override;
@@ -121,6 +122,7 @@
   const Config& running() const override { return config_; }
   std::size_t HeldMessages(const std::string& message_class, const std::string& tenant) const override;
   void ApplyConfig(Config next) override;
+  std::string DiscoveryMoveFault() const override { return discovery_.MoveFault(); }
 
   bool HasWaitingClient(state::Serial serial) const;
   bool NeedsFreshConnection(state::Serial serial) const;
--- a/src/node/node_events.cpp
+++ b/src/node/node_events.cpp
@@ -72,6 +72,8 @@
 
 void Node::OnListValidity(Micros outdated_from) { Push(state::ListValidityChanged{outdated_from}); }
 
+void Node::OnListOutdatedByMove() { config_changes_.OnListOutdatedByMove(); }
+
 // The platform accepts notices where it serves the list.
 void Node::OnDiscoverySwitched() { notices_.SetAddress(discovery_.address_in_use()); }
 
