List validity: an address counts from the SIGHUP that named it

What callers saw: nothing yet; found by reading. Where discovery moves a second time, the new address sends one list and then refuses its watch, calls by that list go on for 5.7 s, and so after a move back to an open watch that is refused then.

Cause: the clock knew the first SIGHUP since an address was taken into use alone, so that the 4 s of a later one were not counted.

Change: the clock keeps the latest SIGHUP that named its address beside the first one since the list was confirmed; while the watch is lost within 4 s of the latest, the earlier of 4 s from the first and 6 s from the confirmation holds.

Why it mends: a list from a new address makes the earlier SIGHUPs irrelevant, and nothing else does.

Tests: Scenes ItsWatchIsRefusedAfterAFurtherMove and BackToAWatchThatWasOpenThroughoutAndIsRefusedThen failed before.

--- a/src/brain/list_validity.cpp
+++ b/src/brain/list_validity.cpp
@@ -4,8 +4,15 @@
 
 namespace indigosaddle {
 
+ListClock ListClock::ForMove(Micros now) {
+  ListClock clock(now);
+  clock.named_at_ = clock.first_named_at_ = now;
+  return clock;
+}
+
 void ListClock::OnConfirmed(Micros now) {
   confirmed_at_ = now;
+  first_named_at_ = named_at_;
   first_failure_at_.reset();
   refused_ = false;
   inherited_limit_ = Micros::max();
@@ -20,30 +27,35 @@
     unreachable_at_ = std::max(unreachable_at_, failure.requested_at);
 }
 
-void ListClock::OnNamedAgain(const ListClock& next) {
-  if (current()) return;
-  inherited_limit_ = std::min(outdated_from(), next.outdated_from());
-  started_at_ = next.started_at_;
-  unreachable_at_ = std::max(unreachable_at_, started_at_);
-  moved_ = true;
+void ListClock::OnNamedAgain(const ListClock& next, Micros now) {
+  if (!current()) inherited_limit_ = std::min(outdated_from(), next.outdated_from());
+  first_named_at_ = current() ? now : next.first_named_at_;
+  named_at_ = now;
+}
+
+bool ListClock::confirmed_since_move() const {
+  if (!named_at_) return true;
+  return confirmed_at_ && first_failure_at_.value_or(Micros::max()) >= *named_at_ + kListMoveDeadline;
 }
 
 Micros ListClock::outdated_from() const {
   if (!refused_) return inherited_limit_;
-  const bool within_move = moved_ && (!confirmed_at_ || first_failure_at_.value_or(Micros::max()) <
-                                                            started_at_ + kListMoveDeadline);
-  const Micros deadline =
-      within_move ? unreachable_at_ + kListMoveDeadline
-                  : std::max(unreachable_at_, confirmed_at_.value_or(Micros::min())) + kListChangeDeadline;
+  const Micros confirmed = std::max(unreachable_at_, confirmed_at_.value_or(Micros::min()));
+  Micros deadline = confirmed + kListChangeDeadline;
+  if (!confirmed_since_move()) {
+    const Micros named = std::max(unreachable_at_, first_named_at_.value_or(Micros::min()));
+    deadline = std::min(deadline, named + kListMoveDeadline);
+  }
   return std::min(inherited_limit_, deadline - kListChangeMargin);
 }
 
 void ListValidity::OnMove(Micros now) {
-  if (!next_) next_ = ListClock::ForMove(now);
+  if (next_) return next_->OnReplaced(now);
+  next_ = ListClock::ForMove(now);
 }
 
-void ListValidity::OnMoveBack() {
-  if (next_) in_use_.OnNamedAgain(*next_);
+void ListValidity::OnMoveBack(Micros now) {
+  if (next_) in_use_.OnNamedAgain(*next_, now);
   next_.reset();
 }
 
--- a/src/brain/list_validity.h
+++ b/src/brain/list_validity.h
@@ -47,29 +47,35 @@
 class ListClock {
  public:
   // The address that a process starts with.
-  static ListClock ForStart(Micros now) { return ListClock(now, false); }
+  static ListClock ForStart(Micros now) { return ListClock(now); }
   // An address that the configuration names from `now` on.
-  static ListClock ForMove(Micros now) { return ListClock(now, true); }
+  static ListClock ForMove(Micros now);
 
   // A complete line or list arrived and could be read.
   void OnConfirmed(Micros now);
   void OnFailure(const ListRequestFailure& failure);
+  // The configuration names a further address, which takes the place of this one.
+  void OnReplaced(Micros now) { named_at_ = now; }
   // The configuration named another address, whose clock is `next`, and names this one again. Where this one
   // is not current, the limits set so far hold until it confirms the list.
-  void OnNamedAgain(const ListClock& next);
+  void OnNamedAgain(const ListClock& next, Micros now);
 
-  // The list is confirmed and no request has failed since: every change was received.
-  bool current() const { return confirmed_at_.has_value() && !first_failure_at_.has_value(); }
   // From then on the list counts as outdated; Micros::max(): no limit.
   Micros outdated_from() const;
 
  private:
-  ListClock(Micros now, bool moved) : started_at_(now), unreachable_at_(now), moved_(moved) {}
+  explicit ListClock(Micros now) : unreachable_at_(now) {}
+
+  // The list is confirmed and no request has failed since: every change was received.
+  bool current() const { return confirmed_at_.has_value() && !first_failure_at_.has_value(); }
+  // Whether the list was confirmed and every change received until `named_at_` + kListMoveDeadline.
+  bool confirmed_since_move() const;
 
-  Micros started_at_;  // process start, or the change of the address
   // The latest instant at which discovery may have been unreachable before it was seen to be reachable.
   Micros unreachable_at_;
-  bool moved_;  // the configuration named this address while the process ran
+  // When the configuration named the present address, and the first one since the list was confirmed; empty
+  // for the address that the process started with.
+  std::optional<Micros> named_at_, first_named_at_;
   std::optional<Micros> confirmed_at_;
   std::optional<Micros> first_failure_at_;  // since the list was confirmed
   bool refused_ = false;                    // ListFailure::kNoList since the list was confirmed
@@ -88,7 +94,7 @@
   // since an address was taken into use, however many follow.
   void OnMove(Micros now);
   // The configuration names the address in use again.
-  void OnMoveBack();
+  void OnMoveBack(Micros now);
   // The next address has sent the whole list and is the one in use from now on.
   void OnSwitch();
 
--- a/src/node/discovery_link.cpp
+++ b/src/node/discovery_link.cpp
@@ -40,7 +40,7 @@
 
 void DiscoveryLink::MoveBack() {
   if (next_ == nullptr) return;
-  validity_.OnMoveBack();
+  validity_.OnMoveBack(loop_.Now());
   next_.reset();
   next_address_.clear();
   in_use_->client().RequestSoon();
--- a/tests/brain_list_validity_test.cpp
+++ b/tests/brain_list_validity_test.cpp
@@ -95,7 +95,7 @@
     const Micros now = kFirstMove + step.at;
     switch (step.kind) {
       case Step::Kind::kMove: return validity_.OnMove(now);
-      case Step::Kind::kMoveBack: return validity_.OnMoveBack();
+      case Step::Kind::kMoveBack: return validity_.OnMoveBack(now);
       case Step::Kind::kSwitch: return validity_.OnSwitch();
       case Step::Kind::kConfirmed: return validity_.OnConfirmed(step.address, now);
       case Step::Kind::kRefused: return validity_.OnFailure(step.address, Refused(now));
@@ -173,6 +173,21 @@
                {kConfirmed, Ms(20000), kInUse},
                {kRefused, Ms(21000), kInUse}},
               Ms(20000) + kValidFor},
+        Scene{"ItsWatchIsRefusedAfterAFurtherMove",
+              {{kMove, Ms(0)},
+               {kRefused, Ms(5)},
+               {kMove, Ms(10000)},
+               {kConfirmed, Ms(10050)},
+               {kSwitch, Ms(10050)},
+               {kRefused, Ms(10060), kInUse}},
+              Ms(10000) + kValidAfterMove},
+        Scene{"BackToAWatchThatWasOpenThroughoutAndIsRefusedThen",
+              {{kMove, Ms(0)},
+               {kRefused, Ms(5)},
+               {kConfirmed, Ms(6500), kInUse},
+               {kMoveBack, Ms(7000)},
+               {kRefused, Ms(7500), kInUse}},
+              Ms(7000) + kValidAfterMove},
         Scene{"BackToAWatchThatWasOpenThroughout",
               {{kMove, Ms(0)}, {kRefused, Ms(5)}, {kConfirmed, Ms(6500), kInUse}, {kMoveBack, Ms(7000)}},
               kNoLimit},
