Trial: no rollback for discovery once a stop has frozen the configuration

Cause: the list can get outdated between the end of intake and the close of discovery, up to 10 ms later; the rollback would then apply a configuration that the phase forbids.

Change: ConfigChanges::Freeze forgets the address on trial, as it stops the other two ways to a rollback.

--- a/src/node/config_changes.cpp
+++ b/src/node/config_changes.cpp
@@ -59,6 +59,7 @@
 void ConfigChanges::Freeze() {
   transaction_timer_.Stop();
   guard_timer_.Stop();
+  discovery_on_trial_.clear();  // nothing is rolled back because of it any more
 }
 
 // ---- Reload -----------------------------------------------------------------------------------------------
