Discovery link: one answer to which address limits the list

Cause: four places chose between the address in use and the next one, and between the latest failures there, by the same test.

Change: DiscoveryLink::limited_by names the address and its failure once. No change of behaviour.

--- a/src/node/discovery_link.cpp
+++ b/src/node/discovery_link.cpp
@@ -113,9 +113,8 @@
   if (outdated_from_ == Micros::max() || (outdated() && outdated_from_ > loop_.Now())) LogValidAgain();
   if (outdated_from_ == Micros::max()) return;
   const Micros left = std::max(Micros(0), outdated_from_ - loop_.Now());
-  const bool by_next = validity_.limited_by() == Address::kNext;
-  log_.Write(base::kListLimited, by_next ? next_address_ : address_in_use_,
-             by_next ? next_failure_ : in_use_failure_, left);
+  const LimitingAddress limiting = limited_by();
+  log_.Write(base::kListLimited, limiting.address, limiting.failure, left);
   outdated_timer_.Start(left);
 }
 
@@ -128,27 +127,32 @@
 void DiscoveryLink::OnOutdatedTimer() {
   if (outdated_since_) return;
   outdated_since_ = loop_.Now();
-  const bool by_next = validity_.limited_by() == Address::kNext;
-  log_.Write(base::kListOutdated, by_next ? next_address_ : address_in_use_,
-             by_next ? next_failure_ : in_use_failure_);
-  if (by_next) owner_.OnListOutdatedByMove();
+  const LimitingAddress limiting = limited_by();
+  log_.Write(base::kListOutdated, limiting.address, limiting.failure);
+  if (limiting.is_next) owner_.OnListOutdatedByMove();
+}
+
+DiscoveryLink::LimitingAddress DiscoveryLink::limited_by() const {
+  if (validity_.limited_by() == Address::kNext) return {true, next_address_, next_failure_};
+  return {false, address_in_use_, in_use_failure_};
 }
 
 std::string DiscoveryLink::MoveFault() const {
-  if (outdated_from_ == Micros::max() || validity_.limited_by() != Address::kNext) return "";
-  return fmt::format("discovery at {} sends no list: {}", next_address_, next_failure_);
+  const LimitingAddress limiting = limited_by();
+  if (outdated_from_ == Micros::max() || !limiting.is_next) return "";
+  return fmt::format("discovery at {} sends no list: {}", limiting.address, limiting.failure);
 }
 
 nlohmann::json DiscoveryLink::Json() const {
   const bool limited = outdated_from_ != Micros::max();
-  const bool by_next = validity_.limited_by() == Address::kNext;
+  const LimitingAddress limiting = limited_by();
   const Micros left = std::max(Micros(0), outdated_from_ - loop_.Now());
   return {{"address", address_in_use_},
           {"next_address", next_address_},
           {"outdated", outdated()},
           {"valid_for_ms", limited ? nlohmann::json(left.count() / 1000) : nlohmann::json()},
-          {"limited_by", limited ? (by_next ? next_address_ : address_in_use_) : std::string()},
-          {"failure", limited ? (by_next ? next_failure_ : in_use_failure_) : std::string()}};
+          {"limited_by", limited ? limiting.address : std::string()},
+          {"failure", limited ? limiting.failure : std::string()}};
 }
 
 }  // namespace indigosaddle::node
--- a/src/node/discovery_link.h
+++ b/src/node/discovery_link.h
@@ -95,6 +95,13 @@
   };
 
   Address AddressOf(const Follower& follower) const;
+  // The address whose answers limit the list at hand, and how its latest request failed.
+  struct LimitingAddress {
+    bool is_next = false;
+    const std::string& address;
+    const std::string& failure;
+  };
+  LimitingAddress limited_by() const;
   void OnMembers(const Follower& follower, net::MemberListUpdate update);
   void OnListConfirmed(const Follower& follower);
   void OnWatchLost(const Follower& follower, std::string_view reason, const ListRequestFailure& failure);
