Tests: one endpoint that records when calls arrive

Cause: the tests of drains and those of moves of discovery each had the same endpoint with a list of times and its lock.

Change: both use TimedEndpoint. The checks and their bounds are as they were.

--- a/tests/node_discovery_move_test.cpp
+++ b/tests/node_discovery_move_test.cpp
@@ -4,9 +4,9 @@
 
 #include <csignal>
 #include <memory>
-#include <mutex>
 
 #include "stand_ins.h"
+#include "timed_endpoint.h"
 
 namespace indigosaddle::testing {
 namespace {
@@ -49,9 +49,9 @@
     }
   }
   int CallsSince(Clock::time_point from) {
-    const std::lock_guard lock(mutex_);
-    return static_cast<int>(std::count_if(call_times_.begin(), call_times_.end(),
-                                          [&](Clock::time_point at) { return at > from; }));
+    const auto call_times = endpoint.call_times();
+    return static_cast<int>(
+        std::count_if(call_times.begin(), call_times.end(), [&](Clock::time_point at) { return at > from; }));
   }
   // Expects that calls go on right up to the deadline (less what the node keeps clear of it), and none after.
   void ExpectCallsOnlyUntil(Clock::time_point deadline) {
@@ -64,15 +64,7 @@
 
   std::unique_ptr<PlatformStandIn> old_platform;
   PlatformStandIn next_platform;
-  std::mutex mutex_;
-  std::vector<Clock::time_point> call_times_;
-  EndpointStandIn endpoint{[this](Socket& s, const HttpRequest&, int) {
-    {
-      const std::lock_guard lock(mutex_);
-      call_times_.push_back(Clock::now());
-    }
-    return s.Write(Answer(200));
-  }};
+  TimedEndpoint endpoint;
   int enqueued_ = 0;
 };
 
--- a/tests/node_drains_test.cpp
+++ b/tests/node_drains_test.cpp
@@ -3,9 +3,9 @@
 #include <gtest/gtest.h>
 
 #include <csignal>
-#include <mutex>
 
 #include "stand_ins.h"
+#include "timed_endpoint.h"
 #include "watch_bytes.h"
 
 namespace indigosaddle::testing {
@@ -39,26 +39,14 @@
   }
   // Expects no call later than the grace after the instant from which the drain counts as reported.
   void ExpectNoCallsAfterGrace(Clock::time_point reported_at) {
-    const std::lock_guard lock(mutex_);
-    for (const Clock::time_point call_time : call_times_) {
+    for (const Clock::time_point call_time : endpoint.call_times()) {
       const auto elapsed = std::chrono::duration_cast<milliseconds>(call_time - reported_at);
       EXPECT_LE(elapsed, kGrace + kTolerance) << "a call to a draining endpoint";
     }
   }
-  std::size_t CallCount() {
-    const std::lock_guard lock(mutex_);
-    return call_times_.size();
-  }
+  std::size_t CallCount() { return endpoint.call_times().size(); }
 
-  std::mutex mutex_;
-  std::vector<Clock::time_point> call_times_;
-  EndpointStandIn endpoint{[this](Socket& s, const HttpRequest&, int) {
-    {
-      const std::lock_guard lock(mutex_);
-      call_times_.push_back(Clock::now());
-    }
-    return s.Write(Answer(200));
-  }};
+  TimedEndpoint endpoint;
   int enqueued_ = 0;
 };
 
@@ -176,8 +164,7 @@
     node.Signal(SIGCONT);
     client.join();
     ExpectNoCallsAfterGrace(reported_at);
-    const std::lock_guard lock(mutex_);
-    call_times_.clear();
+    endpoint.Clear();
   }
 }
 
